--- /dev/null
+++ b/internal/coordination/follower/follower.go
@@ -0,0 +1,346 @@
+/*
+Package follower keeps an entry up to date with what the registrars know.
+
+# Concept
+
+A follower asks every registrar it can reach and keeps the newest of each: the
+catalog with the highest version, the drained failure domains of the highest
+log index, and the newest announcement of each backend server. What it shows
+never goes back, whichever registrar answers, and it stands while none does.
+
+# Use
+
+	f := follower.New(ctx, cfg, log, scope)
+	view := f.View() // nil until the first catalog has come
+	route, ok := view.Index.Route(host, path)
+*/
+package follower
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+
+	"oleanderrack.example/oleanderrack/internal/protocol/peer"
+	"oleanderrack.example/oleanderrack/internal/state/directory"
+	"oleanderrack.example/oleanderrack/pkg/catalog"
+)
+
+// Times of the follower.
+const (
+	// followWait is how long a registrar holds a call that has no news. Loads
+	// travel with each call, so this is also their age.
+	followWait = 400 * time.Millisecond
+	// callTimeout bounds the answer beyond followWait. A connection that hangs
+	// is given up after it, well within a contact window of some seconds.
+	callTimeout = 600 * time.Millisecond
+	// minPause and maxPause bound the pause after a call that failed.
+	minPause = 50 * time.Millisecond
+	maxPause = 500 * time.Millisecond
+	// surveyInterval is how often the list of registrars is looked at.
+	surveyInterval = 100 * time.Millisecond
+	// settleTime is how long a new follower waits for the other registrars
+	// once one has answered: the first may be behind.
+	settleTime = 700 * time.Millisecond
+	// loadMaxAge is how long the loads of other entries are believed.
+	loadMaxAge = 2 * time.Second
+)
+
+// Config is what a Follower needs.
+type Config struct {
+	Node *peer.Node
+	// Seeds returns the addresses of some registrars. It may change.
+	Seeds  func() []string
+	Client *http.Client
+	// Decode reads a catalog as operators have written it.
+	Decode func([]byte) (catalog.Catalog, error)
+	// Loads returns the requests in flight by backend server.
+	Loads func() map[string]int
+	// OnChange is called with each new view, in order.
+	OnChange func(*View)
+}
+
+// View is what is known at one moment. It must not be changed.
+type View struct {
+	Index *catalog.Index
+	// Drained holds the failure domains that get no new work.
+	Drained map[string]bool
+	// DrainIndex is the log index of Drained.
+	DrainIndex uint64
+	Servers    []Server
+	// Entries is the number of entries that share common limits, at least 1.
+	Entries int
+}
+
+// Server is one backend server that may get work.
+type Server struct {
+	ID            string
+	BornMS        uint64
+	Sequence      uint64
+	Service       string
+	Address       string
+	FailureDomain string
+	Slots         int
+	Draining      bool
+	Received      time.Time
+	ColdUntil     time.Time
+}
+
+// Follower keeps the newest view. Use New.
+type Follower struct {
+	cfg   Config
+	log   hclog.Logger
+	scope tally.Scope
+	view  atomic.Pointer[View]
+
+	mu         sync.Mutex
+	table      *directory.Table
+	index      *catalog.Index
+	drained    map[string]bool
+	drainIndex uint64
+	registrars map[string]*registrar
+	members    []string
+	firstAt    time.Time // of the first answer
+	loads      map[string]uint32
+	loadsAt    time.Time
+}
+
+// registrar is one address that is followed.
+type registrar struct {
+	cancel   context.CancelFunc
+	answered bool
+	entries  uint32
+}
+
+// New starts a follower. It ends with ctx.
+func New(ctx context.Context, cfg Config, log hclog.Logger, scope tally.Scope) *Follower {
+	f := &Follower{
+		cfg: cfg, log: log, scope: scope,
+		table: directory.New(), registrars: map[string]*registrar{}, drained: map[string]bool{},
+	}
+	go func() {
+		ticker := time.NewTicker(surveyInterval)
+		defer ticker.Stop()
+		for {
+			f.survey(ctx)
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+		}
+	}()
+	return f
+}
+
+// View returns the newest view, or nil if none is complete yet.
+func (f *Follower) View() *View { return f.view.Load() }
+
+// OtherLoads returns the requests that other entries have in flight by backend
+// server, or nil if that is not known.
+func (f *Follower) OtherLoads(now time.Time) map[string]uint32 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Sub(f.loadsAt) > loadMaxAge {
+		return nil
+	}
+	return f.loads
+}
+
+// survey follows each registrar that is known, and no other.
+func (f *Follower) survey(ctx context.Context) {
+	wanted := f.cfg.Seeds()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		if !slices.Contains(wanted, m) {
+			wanted = append(slices.Clip(wanted), m)
+		}
+	}
+	for _, address := range wanted {
+		if f.registrars[address] != nil {
+			continue
+		}
+		followCtx, cancel := context.WithCancel(ctx)
+		r := &registrar{cancel: cancel}
+		f.registrars[address] = r
+		go f.follow(followCtx, address, r)
+	}
+	for address, r := range f.registrars {
+		if !slices.Contains(wanted, address) {
+			r.cancel()
+			delete(f.registrars, address)
+		}
+	}
+	f.publishFirst()
+}
+
+// follow asks one registrar until ctx ends.
+func (f *Follower) follow(ctx context.Context, address string, r *registrar) {
+	client := peer.NewDirectoryProtobufClient("http://"+address, f.cfg.Client)
+	req := &peer.FollowRequest{Node: f.cfg.Node, WaitMs: uint32(followWait.Milliseconds())}
+	pause := minPause
+	for ctx.Err() == nil {
+		req.CatalogVersion, req.DrainIndex = f.have()
+		req.Loads = f.ownLoads()
+		callCtx, cancel := context.WithTimeout(ctx, followWait+callTimeout)
+		res, err := client.Follow(callCtx, req)
+		cancel()
+		if err != nil {
+			f.failed(address, r, err)
+			select {
+			case <-ctx.Done():
+			case <-time.After(pause + rand.N(pause)):
+			}
+			pause = min(maxPause, pause*2)
+			continue
+		}
+		pause = minPause
+		req.Epoch, req.Since = res.Epoch, res.Version
+		f.take(address, r, res)
+	}
+}
+
+// have returns the version of the catalog and the index of the drained failure
+// domains that are shown.
+func (f *Follower) have() (version, drainIndex uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.index != nil {
+		version = f.index.Catalog.Version
+	}
+	return version, f.drainIndex
+}
+
+func (f *Follower) ownLoads() []*peer.ServerLoad {
+	var list []*peer.ServerLoad
+	for id, n := range f.cfg.Loads() {
+		list = append(list, &peer.ServerLoad{Id: id, InFlight: uint32(n)})
+	}
+	return list
+}
+
+func (f *Follower) failed(address string, r *registrar, err error) {
+	f.scope.Counter("follow_failures").Inc(1)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r.answered {
+		f.log.Warn("registrar is lost", "address", address, "error", err)
+	}
+	r.answered = false
+}
+
+// take merges an answer.
+func (f *Follower) take(address string, r *registrar, res *peer.FollowResponse) {
+	index := f.decode(address, res)
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !r.answered {
+		f.log.Info("registrar is reached", "address", address, "catalog_version", res.CatalogVersion, "entries", res.Entries)
+		r.answered = true
+	}
+	if f.firstAt.IsZero() {
+		f.firstAt = now
+	}
+	changed := r.entries != res.Entries
+	r.entries = res.Entries
+	if index != nil && (f.index == nil || index.Catalog.Version > f.index.Catalog.Version) {
+		f.index, changed = index, true
+		f.log.Info("catalog adopted", "version", index.Catalog.Version, "routes", len(index.Catalog.Routes), "from", address)
+	}
+	if res.DrainIndex > f.drainIndex {
+		f.drainIndex, changed = res.DrainIndex, true
+		f.drained = map[string]bool{}
+		for _, d := range res.Drained {
+			f.drained[d] = true
+		}
+		f.log.Info("drained failure domains adopted", "index", res.DrainIndex, "drained", res.Drained, "from", address)
+	}
+	for _, a := range res.Announcements {
+		changed = f.table.Apply(now, a) || changed
+	}
+	f.members = f.members[:0:0]
+	for _, m := range res.Members {
+		f.members = append(f.members, m.Address)
+	}
+	f.mergeLoads(now, res)
+	if changed && f.view.Load() != nil {
+		f.publish()
+	}
+	f.publishFirst()
+}
+
+func (f *Follower) mergeLoads(now time.Time, res *peer.FollowResponse) {
+	f.loads = make(map[string]uint32, len(res.Loads))
+	for _, l := range res.Loads {
+		f.loads[l.Id] = l.InFlight
+	}
+	f.loadsAt = now
+}
+
+// decode reads the catalog of an answer if it is newer than the one shown.
+func (f *Follower) decode(address string, res *peer.FollowResponse) *catalog.Index {
+	if have, _ := f.have(); len(res.Catalog) == 0 || res.CatalogVersion <= have {
+		return nil
+	}
+	data, err := peer.Unpack(res.Catalog)
+	var c catalog.Catalog
+	if err == nil {
+		c, err = f.cfg.Decode(data)
+	}
+	if err != nil {
+		f.scope.Counter("catalogs_unreadable").Inc(1)
+		f.log.Error("catalog cannot be read", "version", res.CatalogVersion, "from", address, "error", err)
+		return nil
+	}
+	return catalog.NewIndex(c)
+}
+
+// publishFirst shows the first view once enough registrars have answered, or
+// none of the others did for a while. The caller holds f.mu.
+func (f *Follower) publishFirst() {
+	if f.view.Load() != nil || f.index == nil {
+		return
+	}
+	answered := 0
+	for _, r := range f.registrars {
+		if r.answered {
+			answered++
+		}
+	}
+	if answered*2 > len(f.registrars) || time.Since(f.firstAt) >= settleTime {
+		f.publish()
+	}
+}
+
+// publish shows what is known. The caller holds f.mu.
+func (f *Follower) publish() {
+	v := &View{Index: f.index, Drained: f.drained, DrainIndex: f.drainIndex, Entries: 1}
+	for _, r := range f.registrars {
+		v.Entries = max(v.Entries, int(r.entries))
+	}
+	f.table.Entries(func(e *directory.Entry) {
+		a := e.Announcement
+		v.Servers = append(v.Servers, Server{
+			ID: a.Id, BornMS: a.BornMs, Sequence: a.Sequence, Service: a.Service, Address: a.Address, FailureDomain: a.FailureDomain,
+			Slots: int(a.Slots), Draining: a.State != peer.BackendState_BACKEND_STATE_READY,
+			Received: e.Received, ColdUntil: e.ColdUntil,
+		})
+	})
+	slices.SortFunc(v.Servers, func(a, b Server) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	f.view.Store(v)
+	f.cfg.OnChange(v)
+}
--- /dev/null
+++ b/internal/coordination/gateway/admit.go
@@ -0,0 +1,187 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"oleanderrack.example/oleanderrack/internal/coordination/pool"
+	"oleanderrack.example/oleanderrack/internal/protocol/backend"
+	"oleanderrack.example/oleanderrack/pkg/catalog"
+	"oleanderrack.example/oleanderrack/pkg/fault"
+)
+
+const (
+	// patience is the number of target latencies for which a request may wait
+	// for a backend server: one that begins later is late anyway and only
+	// delays others.
+	patience = 2
+	// patienceShare bounds the wait to a part of the route's timeout, so that a
+	// refused caller has time to come again.
+	patienceShare = 4
+	// noViewRetry is the advice while the entry has no catalog. One comes
+	// within a second of a start.
+	noViewRetry = 500 * time.Millisecond
+)
+
+// admit finds the route and checks everything that needs no backend server.
+func (c *call) admit() *fault.Error {
+	view := c.gateway.current()
+	if view == nil {
+		return fault.New(fault.Unavailable, "this entry knows no catalog yet").WithRetryAfter(noViewRetry)
+	}
+	c.catalogVersion = view.Index.Catalog.Version
+	path, _, _ := strings.Cut(c.target(), "?")
+	route, ok := view.Index.Route(c.request.Host, path)
+	if !ok {
+		return fault.New(fault.NotFound, "no route for host %q and path %q", c.request.Host, path)
+	}
+	c.route = route
+	dialect := &c.gateway.cfg.Dialect
+	if view.Index.NeedsKey(route) {
+		account, ok := view.Index.Account(c.request.Header.Get(dialect.Key))
+		if !ok {
+			return fault.New(fault.Unauthenticated, "the key belongs to no client account")
+		}
+		c.account = account
+	}
+	c.id = c.request.Header.Get(dialect.RequestID)
+	if c.id == "" {
+		return fault.New(fault.BadRequest, "the request has no %s header", dialect.RequestID)
+	}
+	if err := c.setDeadline(dialect.Remaining); err != nil {
+		return err
+	}
+	return c.readBody(view.Index.Catalog.Limits.BodyBytes)
+}
+
+// target returns the path and query as the caller wrote them.
+func (c *call) target() string {
+	target := c.request.RequestURI
+	if strings.HasPrefix(target, "/") {
+		return target
+	}
+	return c.request.URL.RequestURI()
+}
+
+// setDeadline takes the earlier of the caller's deadline and the route's.
+func (c *call) setDeadline(header string) *fault.Error {
+	limit := c.route.Timeout
+	if text := c.request.Header.Get(header); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return fault.New(fault.BadRequest, "%s: %q is no number of milliseconds", header, text)
+		}
+		if ms <= 0 {
+			return fault.New(fault.DeadlineExceeded, "the deadline has passed").WithRan(fault.RanNo)
+		}
+		limit = min(limit, time.Duration(ms)*time.Millisecond)
+	}
+	c.deadline = c.arrived.Add(limit)
+	return nil
+}
+
+// readBody reads the whole body: it may have to be sent more than once.
+func (c *call) readBody(limit int64) *fault.Error {
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	c.hasBody = c.request.ContentLength != 0 || len(c.request.TransferEncoding) > 0
+	if !c.hasBody {
+		return nil
+	}
+	if c.request.ContentLength > limit {
+		return fault.New(fault.TooLarge, "the body has %d bytes, at most %d are accepted", c.request.ContentLength, limit)
+	}
+	reserved := c.request.ContentLength
+	if reserved < 0 {
+		reserved = limit
+	}
+	if !c.gateway.bodies.take(reserved) {
+		return fault.New(fault.BufferLimit, "too many bytes of bodies are held").WithRetryAfter(noViewRetry)
+	}
+	c.reserved = reserved
+	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return fault.New(fault.TooLarge, "the body has more than %d bytes", limit)
+	case err != nil:
+		return fault.Wrap(err, fault.Cancelled, "the body did not arrive").WithRan(fault.RanNo)
+	}
+	c.body = body
+	return nil
+}
+
+// outgoing returns the request as backend servers get it, but for what differs
+// between attempts.
+func (c *call) outgoing() *backend.Request {
+	dialect := &c.gateway.cfg.Dialect
+	header := make(http.Header, len(c.request.Header)+4)
+	dropped := connectionHeaders(c.request.Header)
+	for name, values := range c.request.Header {
+		if !dropped[name] {
+			header[name] = values
+		}
+	}
+	header.Del(dialect.Key)
+	header.Del(dialect.ClientAccount)
+	header.Del(dialect.Expected)
+	header.Del(dialect.Urgency)
+	if c.account != nil {
+		header.Set(dialect.ClientAccount, c.account.Name)
+	}
+	return &backend.Request{
+		Method: c.request.Method, Target: c.target(), Host: c.request.Host, ID: c.id,
+		Header: header, Body: c.body, HasBody: c.hasBody,
+	}
+}
+
+// connectionHeaders names the headers that concern one connection only.
+func connectionHeaders(header http.Header) map[string]bool {
+	names := map[string]bool{
+		"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
+		"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+		"Expect": true, "Content-Length": true, "Host": true,
+	}
+	for _, value := range header["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			names[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return names
+}
+
+// priority is the client account's, or the route's.
+func (c *call) priority() int {
+	if c.account != nil && c.account.Priority != nil {
+		return *c.account.Priority
+	}
+	return c.route.Priority
+}
+
+// placement returns what the pool needs to know for the next attempt.
+func (c *call) placement(now time.Time) *pool.Request {
+	wait := min(patience*c.route.TargetLatency, c.route.Timeout/patienceShare)
+	if c.route.TargetLatency == 0 {
+		wait = c.route.Timeout / patienceShare
+	}
+	latest := now.Add(wait)
+	if latest.After(c.deadline) {
+		latest = c.deadline
+	}
+	return &pool.Request{
+		ID: c.id, Service: c.service, Priority: c.priority(), Arrived: c.arrived, Latest: latest,
+		Tried: c.tried, Repeat: c.sends > 0,
+	}
+}
+
+// mayRepeat says whether the request may run more than once: it is idempotent,
+// or a stream that may be resumed.
+func (c *call) mayRepeat() bool {
+	return c.route.IsRepeatable() || (c.route.Kind == catalog.Streaming && c.route.Resumable)
+}
--- /dev/null
+++ b/internal/coordination/gateway/gateway.go
@@ -0,0 +1,239 @@
+/*
+Package gateway serves callers' requests by sending them to backend servers
+directly.
+
+# Concept
+
+A call passes four stages: admission (route, key, deadline, body), the wait for
+a backend server, one or more attempts, and the answer. Package pool decides
+where a request goes and whether it waits; this package carries it out and
+keeps the promises towards callers:
+
+  - A request that must not be repeated is sent again only after the proof that
+    it has not run.
+  - An answer that says "not run" is given only if no attempt can have run.
+  - An answer is passed on only if a backend server made it for this request,
+    and whole; a stream that breaks goes on elsewhere or ends visibly broken.
+  - Work for a caller that is gone is cancelled at once.
+
+Every call ends with one log line that tells the inputs of its decisions.
+
+# Use
+
+	g := gateway.New(ctx, cfg, log, scope)
+	server := &http.Server{Handler: g}
+*/
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+
+	"oleanderrack.example/oleanderrack/internal/coordination/follower"
+	"oleanderrack.example/oleanderrack/internal/coordination/pool"
+	"oleanderrack.example/oleanderrack/internal/protocol/backend"
+	"oleanderrack.example/oleanderrack/pkg/fault"
+)
+
+// Times and limits of the gateway.
+const (
+	// queueInterval is how often waiting requests are looked at besides each
+	// end of a request. It bounds how late a refusal comes.
+	queueInterval = 20 * time.Millisecond
+	// expireInterval is how often idle connections are looked at.
+	expireInterval = 500 * time.Millisecond
+	// defaultBodyBytes bounds a body while no catalog says otherwise.
+	defaultBodyBytes = 4 << 20
+	// successSample is the number of successful calls for one log line.
+	successSample = 50
+)
+
+// Config is what a Gateway needs.
+type Config struct {
+	Dialect backend.Dialect
+	Pool    pool.Config
+	// BodyMemory bounds the bytes of request bodies held at once.
+	BodyMemory int64
+}
+
+// Gateway is the HTTP handler of an entry. Use New.
+type Gateway struct {
+	cfg     Config
+	log     hclog.Logger
+	client  *backend.Client
+	metrics *metrics
+	bodies  budget
+
+	mu      sync.Mutex
+	view    *follower.View
+	pool    *pool.Pool
+	waiting map[*pool.Request]chan pool.Decision
+	served  uint64 // successful calls, for the sample
+	random  *rand.Rand
+}
+
+var _ http.Handler = (*Gateway)(nil)
+
+// New returns a gateway without a view: it refuses until Update has been
+// called. It ends with ctx.
+func New(ctx context.Context, cfg Config, log hclog.Logger, scope tally.Scope) *Gateway {
+	g := &Gateway{
+		cfg: cfg, log: log, client: backend.New(cfg.Dialect), metrics: newMetrics(scope),
+		bodies:  budget{limit: cfg.BodyMemory},
+		pool:    pool.New(cfg.Pool),
+		waiting: map[*pool.Request]chan pool.Decision{},
+		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	go func() {
+		queue, idle := time.NewTicker(queueInterval), time.NewTicker(expireInterval)
+		defer queue.Stop()
+		defer idle.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-queue.C:
+				g.tick()
+			case now := <-idle.C:
+				g.client.Expire(now)
+			}
+		}
+	}()
+	return g
+}
+
+// Update takes a new view.
+func (g *Gateway) Update(v *follower.View) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.view = v
+	g.pool.Update(time.Now(), v)
+	g.grant()
+}
+
+// SetOthers takes the requests that other entries have in flight.
+func (g *Gateway) SetOthers(loads map[string]uint32) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pool.SetOthers(loads)
+}
+
+// Loads returns this entry's requests in flight by backend server.
+func (g *Gateway) Loads() map[string]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pool.InFlight()
+}
+
+// Ready says why callers should go elsewhere: there is no catalog yet.
+func (g *Gateway) Ready() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.view == nil {
+		return fault.New(fault.Unavailable, "no catalog is known yet")
+	}
+	return nil
+}
+
+func (g *Gateway) current() *follower.View {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.view
+}
+
+// tick lets waits end that nothing else ends.
+func (g *Gateway) tick() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.waiting) > 0 {
+		g.grant()
+	}
+	waiting, inFlight := g.pool.Counts()
+	g.metrics.waiting.Update(float64(waiting))
+	g.metrics.inFlight.Update(float64(inFlight))
+}
+
+// grant tells waiting calls what was decided. The caller holds g.mu.
+func (g *Gateway) grant() {
+	for _, grant := range g.pool.Next(time.Now()) {
+		if answer := g.waiting[grant.Request]; answer != nil {
+			delete(g.waiting, grant.Request)
+			answer <- grant.Decision
+		}
+	}
+}
+
+// acquire returns Assign or Refuse for a request, after a wait if need be, or
+// nil if ctx has ended first.
+func (g *Gateway) acquire(ctx context.Context, r *pool.Request) pool.Decision {
+	g.mu.Lock()
+	decision := g.pool.Ask(time.Now(), r)
+	if _, wait := decision.(pool.Wait); !wait {
+		g.mu.Unlock()
+		return decision
+	}
+	answer := make(chan pool.Decision, 1)
+	g.waiting[r] = answer
+	g.mu.Unlock()
+	select {
+	case decision = <-answer:
+		return decision
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.waiting, r)
+	g.pool.Leave(r)
+	select {
+	case decision = <-answer:
+		if a, ok := decision.(pool.Assign); ok {
+			g.pool.Done(time.Now(), r.Service, a.Server.ID, pool.Abandoned, 0, 0)
+			g.grant()
+		}
+	default:
+	}
+	return nil
+}
+
+// done reports the end of an attempt.
+func (g *Gateway) done(service, id string, result pool.Result, first, held time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pool.Done(time.Now(), service, id, result, first, held)
+	g.grant()
+}
+
+func (g *Gateway) draw() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.random.Float64()
+}
+
+// budget bounds bytes in use.
+type budget struct {
+	mu    sync.Mutex
+	used  int64
+	limit int64
+}
+
+func (b *budget) take(n int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.used+n > b.limit {
+		return false
+	}
+	b.used += n
+	return true
+}
+
+func (b *budget) give(n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used -= n
+}
--- /dev/null
+++ b/internal/coordination/pool/pool.go
@@ -0,0 +1,340 @@
+/*
+Package pool decides which backend server takes a request, which requests
+wait, and which are refused. It is what one entry knows of the backend servers
+that it sends to directly.
+
+# Concept
+
+The pool answers three loads. In the ordinary one there is room, and a request
+goes to the backend server that promises the shortest time to its first
+answer. In a burst there is none: requests wait in order of priority and
+arrival, but only if they can still be served in time; the rest is refused at
+once, with the time after which there should be room. When backend servers
+fail, they are avoided for a while, one request at a time tries them again, and
+repeats are held to a share of all requests.
+
+Backend servers do not know of each other and entries know of one another only
+by counts that are some hundred milliseconds old. Limits that hold for all
+entries together are split evenly.
+
+The pool reads no clock and does no I/O: the time is an argument of each call.
+
+# Use
+
+	p := pool.New(cfg)
+	p.Update(now, servers, drained, drainIndex, entries)
+	switch d := p.Ask(now, request).(type) {
+	case pool.Assign:  // send to d.Server, then p.Done
+	case pool.Wait:    // p.Next tells when, p.Leave ends the wait
+	case pool.Refuse:  // answer with d.Kind
+	}
+*/
+package pool
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"oleanderrack.example/oleanderrack/internal/coordination/follower"
+	"oleanderrack.example/oleanderrack/pkg/catalog"
+	"oleanderrack.example/oleanderrack/pkg/fault"
+)
+
+//go:generate go tool stringer -type=Reason,Result -linecomment -output=pool_string.go
+
+// Config holds what a pool is told at its start. Zero values of limits switch
+// them off.
+type Config struct {
+	// FailureDomain is the entry's own.
+	FailureDomain string
+	// RetryRatio is the number of repeats allowed for each first request, and
+	// RetrySlack the repeats allowed besides, for all entries together, in
+	// RetryWindow.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// ColdSlack is the number of requests a second that a cold backend server
+	// bears beyond its rate, for all entries together.
+	ColdSlack float64
+	Random    *rand.Rand
+}
+
+// Request is one caller's request that needs a backend server.
+type Request struct {
+	ID       string
+	Service  string
+	Priority int
+	Arrived  time.Time
+	// Latest is when work must begin for the caller to be served in time.
+	Latest time.Time
+	// Tried holds the ids of backend servers that must not be chosen again.
+	Tried []string
+	// Repeat says that the request was sent before.
+	Repeat bool
+
+	sequence uint64
+}
+
+// Decision is the answer to a request: Assign, Wait or Refuse.
+type Decision interface{ isDecision() }
+
+// Assign names the backend server that takes the request, with the figures
+// that chose it.
+type Assign struct {
+	Server follower.Server
+	// Running is the number of requests there, and Others the part of it that
+	// other entries reported.
+	Running, Others int
+	Cold            bool
+	// Cost is the expected time to the first answer.
+	Cost time.Duration
+}
+
+// Wait says that the request is queued.
+type Wait struct {
+	Ahead    int
+	Expected time.Duration
+}
+
+// Refuse says that the request cannot be served.
+type Refuse struct {
+	Kind       fault.Kind
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+func (Assign) isDecision() {}
+func (Wait) isDecision()   {}
+func (Refuse) isDecision() {}
+
+// Reason says why a request was refused.
+type Reason uint8
+
+// The reasons.
+const (
+	NoServer     Reason = iota // no_server
+	AllAvoided                 // all_avoided
+	QueueTooLong               // queue_too_long
+	WaitedOut                  // waited_out
+	RetryBudget                // retry_budget
+	ColdLimit                  // cold_limit
+)
+
+// Result says how a request ended at a backend server.
+type Result uint8
+
+// The results.
+const (
+	Answered  Result = iota // answered
+	Rejected                // rejected
+	Failed                  // failed
+	Unreached               // unreached
+	Silent                  // silent
+	Abandoned               // abandoned
+)
+
+// Pool is the state of one entry. It is not safe for use by several
+// goroutines. Use New.
+type Pool struct {
+	cfg        Config
+	entries    int
+	drainIndex uint64
+	returned   map[string]time.Time // failure domains and when they came back
+	drained    map[string]bool
+	servers    map[string]*server
+	services   map[string]*service
+	next       uint64
+}
+
+// Grant is a request whose wait is over.
+type Grant struct {
+	Request  *Request
+	Decision Decision
+}
+
+// New returns an empty pool.
+func New(cfg Config) *Pool {
+	return &Pool{
+		cfg: cfg, entries: 1, drained: map[string]bool{}, returned: map[string]time.Time{},
+		servers: map[string]*server{}, services: map[string]*service{},
+	}
+}
+
+// Update takes a new view of the backend servers.
+func (p *Pool) Update(now time.Time, v *follower.View) {
+	p.entries = v.Entries
+	for domain := range p.drained {
+		if !v.Drained[domain] {
+			p.returned[domain] = now
+		}
+	}
+	p.drained = v.Drained
+	for _, s := range p.services {
+		s.servers = s.servers[:0]
+	}
+	listed := make(map[string]bool, len(v.Servers))
+	for _, info := range v.Servers {
+		listed[info.ID] = true
+		s := p.servers[info.ID]
+		if s == nil || s.info.BornMS != info.BornMS {
+			s = &server{}
+			p.servers[info.ID] = s
+		}
+		if info.Sequence > s.info.Sequence {
+			s.misdirected = false
+		}
+		s.info = info
+		svc := p.service(info.Service)
+		svc.servers = append(svc.servers, s)
+	}
+	for id, s := range p.servers {
+		if !listed[id] && s.inFlight == 0 {
+			delete(p.servers, id)
+		}
+	}
+	for name, s := range p.services {
+		s.setSpec(v.Index.Service(name))
+	}
+}
+
+// SetOthers takes the requests that other entries have in flight.
+func (p *Pool) SetOthers(loads map[string]uint32) {
+	for id, s := range p.servers {
+		s.others = int(loads[id])
+	}
+}
+
+// InFlight returns this entry's requests by backend server.
+func (p *Pool) InFlight() map[string]int {
+	loads := make(map[string]int, len(p.servers))
+	for id, s := range p.servers {
+		if s.inFlight > 0 {
+			loads[id] = s.inFlight
+		}
+	}
+	return loads
+}
+
+// Ask decides on a request that has just come, or comes again after an attempt
+// has ended.
+func (p *Pool) Ask(now time.Time, r *Request) Decision {
+	svc := p.service(r.Service)
+	if r.Repeat && !svc.mayRepeat(now, p.cfg, p.entries) {
+		return Refuse{Kind: fault.RetryBudgetSpent, Reason: RetryBudget, RetryAfter: svc.retryAfter()}
+	}
+	ahead := svc.ahead(r)
+	if ahead == 0 {
+		switch c := p.choose(now, svc, r).(type) {
+		case Assign:
+			p.assign(now, svc, r, c)
+			return c
+		case Refuse:
+			return c
+		}
+	}
+	expected := svc.expectedWait(ahead)
+	if !now.Add(expected).Before(r.Latest) {
+		return Refuse{Kind: fault.Overloaded, Reason: QueueTooLong, RetryAfter: svc.retryAfter()}
+	}
+	p.next++
+	r.sequence = p.next
+	svc.enqueue(r)
+	return Wait{Ahead: ahead, Expected: expected}
+}
+
+// Leave ends the wait of a request whose caller is gone.
+func (p *Pool) Leave(r *Request) { p.service(r.Service).remove(r) }
+
+// Next returns the requests whose wait is over: those that now have a backend
+// server, and those that can no longer be served in time.
+func (p *Pool) Next(now time.Time) []Grant {
+	var grants []Grant
+	for _, svc := range p.services {
+		grants = p.nextOf(now, svc, grants)
+	}
+	return grants
+}
+
+func (p *Pool) nextOf(now time.Time, svc *service, grants []Grant) []Grant {
+	kept := svc.queue[:0]
+	full := false
+	for _, r := range svc.queue {
+		if !now.Before(r.Latest) {
+			grants = append(grants, Grant{Request: r, Decision: Refuse{Kind: fault.Overloaded, Reason: WaitedOut, RetryAfter: svc.retryAfter()}})
+			continue
+		}
+		if !full {
+			switch c := p.choose(now, svc, r).(type) {
+			case Assign:
+				p.assign(now, svc, r, c)
+				grants = append(grants, Grant{Request: r, Decision: c})
+				continue
+			case Refuse:
+				grants = append(grants, Grant{Request: r, Decision: c})
+				continue
+			}
+			full = true
+		}
+		kept = append(kept, r)
+	}
+	clear(svc.queue[len(kept):])
+	svc.queue = kept
+	return grants
+}
+
+func (p *Pool) assign(now time.Time, svc *service, r *Request, a Assign) {
+	s := p.servers[a.Server.ID]
+	s.inFlight++
+	s.lastSent = now
+	if a.Cold {
+		s.coldSends = append(s.coldSends, now)
+	}
+	svc.count(now, r.Repeat)
+}
+
+// Done ends a request at a backend server. First is the time to its first
+// answer, and 0 if there was none.
+func (p *Pool) Done(now time.Time, serviceName, id string, result Result, first, held time.Duration) {
+	s := p.servers[id]
+	if s == nil {
+		return
+	}
+	s.inFlight--
+	s.observe(now, result, first)
+	p.service(serviceName).observe(result, first, held)
+}
+
+// Misdirected notes that another incarnation answers at the address of a
+// backend server: it gets nothing until it announces itself again.
+func (p *Pool) Misdirected(id string) {
+	if s := p.servers[id]; s != nil {
+		s.misdirected = true
+	}
+}
+
+// ToldCold notes what a response said about the rest of a cold period.
+func (p *Pool) ToldCold(now time.Time, id string, rest time.Duration) {
+	if s := p.servers[id]; s != nil && rest > 0 {
+		s.toldCold = now.Add(rest)
+	}
+}
+
+// Counts tells how many requests wait and are in flight.
+func (p *Pool) Counts() (waiting, inFlight int) {
+	for _, s := range p.services {
+		waiting += len(s.queue)
+	}
+	for _, s := range p.servers {
+		inFlight += s.inFlight
+	}
+	return waiting, inFlight
+}
+
+func (p *Pool) service(name string) *service {
+	s := p.services[name]
+	if s == nil {
+		s = &service{spec: catalog.Service{Name: name}}
+		p.services[name] = s
+	}
+	return s
+}
--- /dev/null
+++ b/internal/coordination/pool/server.go
@@ -0,0 +1,195 @@
+package pool
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"oleanderrack.example/oleanderrack/internal/coordination/follower"
+	"oleanderrack.example/oleanderrack/pkg/fault"
+)
+
+// Weights and times of the choice.
+const (
+	// latencyWeight is the weight of a new observation in a backend server's
+	// mean, an average over about five requests, so that one that turns slow
+	// is noticed within a second.
+	latencyWeight = 0.2
+	// latencyFade is the time in which what is known of a backend server's
+	// speed loses its weight, so that a slow one is tried again.
+	latencyFade = 5 * time.Second
+	// failureWeight is the weight of a new result in the share of failures.
+	failureWeight = 0.2
+	// failureCost multiplies the cost of a backend server all of whose requests
+	// fail; a retry costs at least a whole second request.
+	failureCost = 8.0
+	// failureFade is the time in which the share of failures halves.
+	failureFade = 3 * time.Second
+	// foreignCost is what a hop to another failure domain costs, about the
+	// price of its bytes against the worth of a request.
+	foreignCost = 1.1
+	// coldCost makes cold backend servers the last choice among equals.
+	coldCost = 2.0
+	// noise spreads the choices of entries that know the same figures.
+	noise = 0.1
+	// firstAvoid and maxAvoid bound how long a backend server that cannot be
+	// reached is avoided. A restart takes seconds.
+	firstAvoid = 250 * time.Millisecond
+	maxAvoid   = 3 * time.Second
+	// assumedCold is how long a backend server of a failure domain that has
+	// returned counts as cold unless a later announcement says otherwise.
+	assumedCold = 5 * time.Second
+	// coldWindow is the span in which the requests to a cold backend server
+	// are counted, and coldMargin the part of its limit that is used.
+	coldWindow = time.Second
+	coldMargin = 0.8
+)
+
+// server is one backend server.
+type server struct {
+	info        follower.Server
+	inFlight    int
+	others      int
+	latency     time.Duration // mean time to the first answer
+	observed    time.Time
+	failures    float64 // share of failures, fading
+	failedAt    time.Time
+	misses      int // consecutive requests without any answer
+	avoidUntil  time.Time
+	misdirected bool
+	toldCold    time.Time
+	coldSends   []time.Time
+	lastSent    time.Time
+}
+
+// observe notes how a request ended.
+func (s *server) observe(now time.Time, result Result, first time.Duration) {
+	switch result {
+	case Answered:
+		s.misses = 0
+		s.noteFailure(now, 0)
+		if s.latency == 0 {
+			s.latency = first
+		}
+		s.latency += time.Duration(latencyWeight * float64(first-s.latency))
+		s.observed = now
+	case Rejected:
+		s.misses = 0
+	case Failed:
+		s.misses = 0
+		s.noteFailure(now, 1)
+	case Unreached, Silent:
+		s.noteFailure(now, 1)
+		s.misses++
+		s.avoidUntil = now.Add(min(maxAvoid, firstAvoid<<min(s.misses-1, 8)))
+	case Abandoned:
+	}
+}
+
+func (s *server) noteFailure(now time.Time, value float64) {
+	share := s.failureShare(now)
+	s.failures = share + failureWeight*(value-share)
+	s.failedAt = now
+}
+
+func (s *server) failureShare(now time.Time) float64 {
+	return s.failures * math.Exp2(-now.Sub(s.failedAt).Seconds()/failureFade.Seconds())
+}
+
+// speed is the expected time to a first answer without other load, drawn to
+// the service's mean as the observation ages.
+func (s *server) speed(now time.Time, mean time.Duration) time.Duration {
+	if s.latency == 0 {
+		return mean
+	}
+	weight := math.Exp(-now.Sub(s.observed).Seconds() / latencyFade.Seconds())
+	return mean + time.Duration(weight*float64(s.latency-mean))
+}
+
+func (s *server) isCold(now time.Time, returned time.Time) bool {
+	if now.Before(s.info.ColdUntil) || now.Before(s.toldCold) {
+		return true
+	}
+	return now.Sub(returned) < assumedCold && s.info.Received.Before(returned)
+}
+
+// mayTakeCold says whether a cold backend server bears one more request of
+// this entry now.
+func (s *server) mayTakeCold(now time.Time, limit int) bool {
+	s.coldSends = slices.DeleteFunc(s.coldSends, func(t time.Time) bool { return now.Sub(t) > coldWindow })
+	return len(s.coldSends) < limit
+}
+
+// coldLimit is this entry's part of what a cold backend server bears in a
+// second.
+func (p *Pool) coldLimit(perSecond float64) int {
+	return max(1, int(coldMargin*(perSecond+p.cfg.ColdSlack)/float64(p.entries)))
+}
+
+// choose returns Assign, Refuse, or Wait if there is no room now. It changes
+// nothing.
+func (p *Pool) choose(now time.Time, svc *service, r *Request) Decision {
+	var best Assign
+	bestCost := math.Inf(1)
+	usable, full := 0, false
+	soonest := time.Time{}
+	for _, s := range svc.servers {
+		if s.info.Draining || s.misdirected || p.drained[s.info.FailureDomain] || slices.Contains(r.Tried, s.info.ID) {
+			continue
+		}
+		usable++
+		if now.Before(s.avoidUntil) || (s.misses > 0 && s.inFlight > 0) {
+			if soonest.IsZero() || s.avoidUntil.Before(soonest) {
+				soonest = s.avoidUntil
+			}
+			continue
+		}
+		running := s.inFlight + s.others
+		slots := s.slots(svc)
+		cold := svc.spec.ColdPerSecond > 0 && s.isCold(now, p.returned[s.info.FailureDomain])
+		if running >= slots || (cold && !s.mayTakeCold(now, p.coldLimit(svc.spec.ColdPerSecond))) {
+			full = true
+			continue
+		}
+		cost := p.cost(now, svc, s, running, slots, cold)
+		if cost < bestCost {
+			bestCost = cost
+			best = Assign{Server: s.info, Running: running, Others: s.others, Cold: cold, Cost: time.Duration(cost)}
+		}
+	}
+	switch {
+	case !math.IsInf(bestCost, 1):
+		return best
+	case full:
+		return Wait{}
+	case usable == 0:
+		return Refuse{Kind: fault.Unavailable, Reason: NoServer, RetryAfter: minRetryAfter}
+	}
+	return Refuse{Kind: fault.Unavailable, Reason: AllAvoided, RetryAfter: max(minRetryAfter, soonest.Sub(now))}
+}
+
+// slots is the number of requests that a backend server works on at once.
+func (s *server) slots(svc *service) int {
+	switch {
+	case s.info.Slots > 0:
+		return s.info.Slots
+	case svc.spec.Engine != nil && svc.spec.Engine.Slots > 0:
+		return svc.spec.Engine.Slots
+	}
+	return 1
+}
+
+// cost is the expected time to the first answer, with what else speaks against
+// a backend server as factors.
+func (p *Pool) cost(now time.Time, svc *service, s *server, running, slots int, cold bool) float64 {
+	mean := max(svc.first, time.Millisecond)
+	cost := float64(s.speed(now, mean)) * (1 + 2*float64(running)/float64(slots))
+	cost *= 1 + failureCost*s.failureShare(now)
+	if s.info.FailureDomain != p.cfg.FailureDomain {
+		cost *= foreignCost
+	}
+	if cold {
+		cost *= coldCost
+	}
+	return cost * (1 + noise*p.cfg.Random.Float64())
+}
--- a/internal/coordination/raft/read.go
+++ b/internal/coordination/raft/read.go
@@ -51,6 +51,21 @@
 
 func (r *Raft) isRecent(p *progress) bool { return r.now-p.contact < r.cfg.ElectionMax }
 
+// Recent returns the other members that a leader has heard from within an
+// election timeout; it is empty for any other replica.
+func (r *Raft) Recent() []uint64 {
+	if r.role != Leader {
+		return nil
+	}
+	var recent []uint64
+	for id, p := range r.peers {
+		if r.isRecent(p) {
+			recent = append(recent, id)
+		}
+	}
+	return recent
+}
+
 // confirmedRound returns the last round that a majority of voters answered.
 func (r *Raft) confirmedRound() uint64 {
 	var rounds []uint64
--- /dev/null
+++ b/internal/coordination/registrar/calls.go
@@ -0,0 +1,191 @@
+package registrar
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"oleanderrack.example/oleanderrack/internal/coordination/replica"
+	"oleanderrack.example/oleanderrack/internal/protocol/peer"
+	"oleanderrack.example/oleanderrack/internal/state/registry"
+	"oleanderrack.example/oleanderrack/pkg/fault"
+)
+
+// maxCallBytes bounds a call, which may carry log entries with catalogs.
+const maxCallBytes = 32 << 20
+
+// Routes adds the services for other processes.
+func (r *Registrar) Routes(e *echo.Echo) {
+	add := func(h interface {
+		http.Handler
+		PathPrefix() string
+	}) {
+		e.POST(strings.TrimSuffix(h.PathPrefix(), "/")+"/*", echo.WrapHandler(http.MaxBytesHandler(h, maxCallBytes)))
+	}
+	add(peer.NewDirectoryServer(r))
+	add(peer.NewReplicationServer(r))
+}
+
+// Deliver takes raft messages of another registrar.
+func (r *Registrar) Deliver(ctx context.Context, req *peer.DeliverRequest) (*peer.DeliverResponse, error) {
+	log, _, err := r.core.get()
+	if err != nil {
+		return nil, r.refuse("deliver", err)
+	}
+	res, err := log.Deliver(ctx, req)
+	if err != nil {
+		return nil, r.refuse("deliver", peer.FromTwirp(err))
+	}
+	return res, nil
+}
+
+// ReplaceCatalog is Replace for a catalog as operators have written it.
+func (r *Registrar) ReplaceCatalog(ctx context.Context, version uint64, data []byte) error {
+	_, err := r.Replace(ctx, &peer.ReplaceRequest{Version: version, Catalog: peer.Pack(data)})
+	return peer.FromTwirp(err)
+}
+
+// ReadCatalog is Read for a catalog as operators have written it.
+func (r *Registrar) ReadCatalog(ctx context.Context) (version uint64, data []byte, err error) {
+	res, err := r.Read(ctx, &peer.ReadRequest{})
+	if err != nil {
+		return 0, nil, peer.FromTwirp(err)
+	}
+	if res.Version == 0 {
+		return 0, nil, nil
+	}
+	data, err = peer.Unpack(res.Catalog)
+	return res.Version, data, err
+}
+
+// Replace makes a catalog the current one if its version is higher, and
+// returns the version that stands.
+func (r *Registrar) Replace(ctx context.Context, req *peer.ReplaceRequest) (*peer.ReplaceResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	var res *peer.ReplaceResponse
+	err := r.lead(ctx, req.Forwarded, func(log *replica.Replica, _ *registry.Registry) error {
+		result, err := log.Propose(ctx, registry.CatalogCommand(time.Now(), req.Version, req.Catalog))
+		if err != nil {
+			return err
+		}
+		res = &peer.ReplaceResponse{}
+		res.Version, res.Adopted, err = registry.CatalogAnswer(result)
+		return err
+	}, func(leader peer.Directory) (err error) {
+		res, err = leader.Replace(ctx, &peer.ReplaceRequest{Version: req.Version, Catalog: req.Catalog, Forwarded: true})
+		return err
+	})
+	r.log.Info("catalog order", "version", req.Version, "bytes", len(req.Catalog), "forwarded", req.Forwarded,
+		"stands", res.GetVersion(), "adopted", res.GetAdopted(), "error", err)
+	if err != nil {
+		return nil, r.refuse("replace", err)
+	}
+	return res, nil
+}
+
+// Drain takes a failure domain out, or returns it.
+func (r *Registrar) Drain(ctx context.Context, req *peer.DrainRequest) (*peer.DrainResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	err := r.lead(ctx, req.Forwarded, func(log *replica.Replica, _ *registry.Registry) error {
+		result, err := log.Propose(ctx, registry.DrainCommand(time.Now(), req.FailureDomain, req.Drained))
+		if err != nil {
+			return err
+		}
+		return registry.DrainAnswer(result)
+	}, func(leader peer.Directory) error {
+		_, err := leader.Drain(ctx, &peer.DrainRequest{FailureDomain: req.FailureDomain, Drained: req.Drained, Forwarded: true})
+		return err
+	})
+	r.log.Info("drain order", "failure_domain", req.FailureDomain, "drained", req.Drained, "forwarded", req.Forwarded, "error", err)
+	if err != nil {
+		return nil, r.refuse("drain", err)
+	}
+	return &peer.DrainResponse{}, nil
+}
+
+// Read returns the newest catalog after a quorum has confirmed that there is
+// no newer one.
+func (r *Registrar) Read(ctx context.Context, req *peer.ReadRequest) (*peer.ReadResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	var res *peer.ReadResponse
+	err := r.lead(ctx, req.Forwarded, func(log *replica.Replica, state *registry.Registry) error {
+		if _, err := log.Confirm(ctx); err != nil {
+			return err
+		}
+		c := state.Catalog()
+		res = &peer.ReadResponse{Version: c.Version, Catalog: c.Data}
+		return nil
+	}, func(leader peer.Directory) (err error) {
+		res, err = leader.Read(ctx, &peer.ReadRequest{Forwarded: true})
+		return err
+	})
+	if err != nil {
+		return nil, r.refuse("read", err)
+	}
+	return res, nil
+}
+
+// Join gives a registrar a place as a learner.
+func (r *Registrar) Join(ctx context.Context, req *peer.JoinRequest) (*peer.JoinResponse, error) {
+	if req.GetMember().GetId() == 0 || req.Member.Address == "" {
+		return nil, r.refuse("join", fault.New(fault.BadRequest, "join needs an id and an address"))
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	var res *peer.JoinResponse
+	err := r.lead(ctx, req.Forwarded, func(log *replica.Replica, _ *registry.Registry) error {
+		for _, m := range log.Status().Members {
+			if m.Id == req.Member.Id {
+				res = &peer.JoinResponse{Members: log.Status().Members}
+				return nil
+			}
+		}
+		err := log.ChangeMember(ctx, &peer.ChangeMemberRequest{
+			Action: peer.ChangeMemberRequest_ACTION_ADD_LEARNER,
+			Member: &peer.Member{Id: req.Member.Id, Address: req.Member.Address, FailureDomain: req.Member.FailureDomain},
+		})
+		r.log.Info("join", "replica", req.Member.Id, "address", req.Member.Address, "error", err)
+		res = &peer.JoinResponse{Members: log.Status().Members}
+		return err
+	}, func(leader peer.Directory) (err error) {
+		res, err = leader.Join(ctx, &peer.JoinRequest{Member: req.Member, Forwarded: true})
+		return err
+	})
+	if err != nil {
+		return nil, r.refuse("join", err)
+	}
+	return res, nil
+}
+
+// lead runs local if this registrar leads, or remote with the leader. A call
+// that was passed on once is not passed on again.
+func (r *Registrar) lead(ctx context.Context, forwarded bool,
+	local func(*replica.Replica, *registry.Registry) error, remote func(peer.Directory) error) error {
+	log, state, err := r.core.get()
+	if err != nil && forwarded {
+		return err
+	}
+	st := r.core.status()
+	if err == nil && st.IsLeader {
+		return local(log, state)
+	}
+	switch {
+	case forwarded:
+		return fault.New(fault.NotLeader, "this registrar does not lead")
+	case st.LeaderAddress == "" || st.LeaderAddress == r.cfg.Address:
+		return fault.New(fault.NoQuorum, "no leader is known")
+	}
+	return peer.FromTwirp(remote(r.peer(st.LeaderAddress)))
+}
+
+func (r *Registrar) refuse(call string, err error) error {
+	f := fault.From(err)
+	r.scope.Tagged(map[string]string{"call": call, "reason": f.Kind.String()}).Counter("refusals").Inc(1)
+	return peer.ToTwirp(f)
+}
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -133,6 +133,9 @@
 	Members                           []*peer.Member
 	IsLeader                          bool
 	LeaderSince                       time.Time // zero unless IsLeader
+	// Recent lists the other members that a leader has heard from within an
+	// election timeout.
+	Recent []uint64
 }
 
 // Replica is one running member. Its methods are safe for use by several
--- a/internal/coordination/replica/worker.go
+++ b/internal/coordination/replica/worker.go
@@ -303,6 +303,7 @@
 		LeaderAddress: w.leader().GetAddress(),
 	}
 	if s.IsLeader {
+		s.Recent = w.raft.Recent()
 		s.LeaderSince = w.status.LeaderSince
 		if !w.status.IsLeader || w.status.Term != s.Term {
 			s.LeaderSince = time.Now()
--- a/internal/protocol/peer/dispatch.twirp.go
+++ b/internal/protocol/peer/dispatch.twirp.go
@@ -786,7 +786,7 @@
 }
 
 func (s *agentServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *agentServer) ProtocGenTwirpVersion() string {
@@ -800,7 +800,7 @@
 	return baseServicePath(s.pathPrefix, "oleanderrack.peer", "Agent")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 1133 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xb4, 0x56, 0xcd, 0x72, 0x1a, 0x47,
 	0x10, 0xd6, 0x8a, 0x05, 0xa4, 0x06, 0x24, 0x3c, 0x95, 0xd8, 0x6b, 0xb9, 0x6c, 0x63, 0x62, 0x57,
--- a/internal/protocol/peer/operator.twirp.go
+++ b/internal/protocol/peer/operator.twirp.go
@@ -1899,7 +1899,7 @@
 }
 
 func (s *operatorServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 0
+	return twirpFileDescriptor3, 0
 }
 
 func (s *operatorServer) ProtocGenTwirpVersion() string {
@@ -1913,7 +1913,7 @@
 	return baseServicePath(s.pathPrefix, "oleanderrack.peer", "Operator")
 }
 
-var twirpFileDescriptor2 = []byte{
+var twirpFileDescriptor3 = []byte{
 	// 1132 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xb4, 0x56, 0xcb, 0x6e, 0xdb, 0x46,
 	0x17, 0xfe, 0x29, 0xc9, 0xba, 0x1c, 0x5d, 0x2c, 0x4f, 0x82, 0x84, 0x11, 0xf0, 0x27, 0x0a, 0x9b,
--- a/internal/protocol/peer/replication.twirp.go
+++ b/internal/protocol/peer/replication.twirp.go
@@ -505,7 +505,7 @@
 }
 
 func (s *replicationServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor3, 0
+	return twirpFileDescriptor4, 0
 }
 
 func (s *replicationServer) ProtocGenTwirpVersion() string {
@@ -519,7 +519,7 @@
 	return baseServicePath(s.pathPrefix, "oleanderrack.peer", "Replication")
 }
 
-var twirpFileDescriptor3 = []byte{
+var twirpFileDescriptor4 = []byte{
 	// 893 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x55, 0xcd, 0x6e, 0xdb, 0x46,
 	0x10, 0x2e, 0xf5, 0x4b, 0x8d, 0x6c, 0x99, 0xdd, 0x06, 0x29, 0x23, 0x27, 0x8e, 0x4c, 0xb4, 0x80,
--- /dev/null
+++ b/internal/state/registry/catalogs.go
@@ -0,0 +1,88 @@
+package registry
+
+import (
+	"slices"
+	"time"
+
+	"oleanderrack.example/oleanderrack/pkg/fault"
+)
+
+// Catalog is the newest catalog of routes, services and client accounts. It
+// is opaque here: the registrar checks it before it proposes it.
+type Catalog struct {
+	// Version is the operators' own number; 0 while there is none.
+	Version uint64
+	// Data is compressed and must not be changed.
+	Data []byte
+}
+
+// Drained lists the failure domains that operators have taken out.
+type Drained struct {
+	// Index is the log index of the last change.
+	Index uint64
+	// FailureDomains is sorted and must not be changed.
+	FailureDomains []string
+}
+
+// CatalogCommand encodes the replacement of the catalog.
+func CatalogCommand(now time.Time, version uint64, data []byte) []byte {
+	return command(now, &Command{Command: &Command_ReplaceCatalog{ReplaceCatalog: &ReplaceCatalog{Version: version, Data: data}}})
+}
+
+// DrainCommand encodes a change of a failure domain.
+func DrainCommand(now time.Time, failureDomain string, drained bool) []byte {
+	return command(now, &Command{Command: &Command_DrainDomain{DrainDomain: &DrainDomain{FailureDomain: failureDomain, Drained: drained}}})
+}
+
+// CatalogAnswer decodes the result of a CatalogCommand: the version that
+// stands, and whether the command brought it.
+func CatalogAnswer(result []byte) (version uint64, adopted bool, err error) {
+	res, err := decode(result)
+	return res.GetCatalog().GetVersion(), res.GetCatalog().GetAdopted(), err
+}
+
+// DrainAnswer returns the error of a DrainCommand.
+func DrainAnswer(result []byte) error {
+	_, err := decode(result)
+	return err
+}
+
+// Catalog returns the newest catalog.
+func (r *Registry) Catalog() Catalog {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.catalog
+}
+
+// Drained returns the failure domains that are taken out.
+func (r *Registry) Drained() Drained {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.drained
+}
+
+func (r *Registry) replaceCatalog(c *ReplaceCatalog) *Result {
+	adopted := c.Version > r.catalog.Version
+	if adopted {
+		r.catalog = Catalog{Version: c.Version, Data: c.Data}
+	}
+	return &Result{Result: &Result_Catalog{Catalog: &CatalogResult{Version: r.catalog.Version, Adopted: adopted}}}
+}
+
+func (r *Registry) drain(index uint64, c *DrainDomain) *Result {
+	if c.FailureDomain == "" {
+		return failed(fault.New(fault.BadRequest, "drain names no failure domain"))
+	}
+	at, listed := slices.BinarySearch(r.drained.FailureDomains, c.FailureDomain)
+	if listed != c.Drained {
+		// The old list may be in the hands of readers.
+		next := slices.Clone(r.drained.FailureDomains)
+		if c.Drained {
+			next = slices.Insert(next, at, c.FailureDomain)
+		} else {
+			next = slices.Delete(next, at, at+1)
+		}
+		r.drained = Drained{Index: index, FailureDomains: next}
+	}
+	return &Result{Result: &Result_Drain{Drain: &DrainResult{Index: r.drained.Index}}}
+}
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -63,6 +63,8 @@
 	groups   map[string]*GroupRecord
 	fencing  map[string]uint64
 	ledger   *ledger.Ledger
+	catalog  Catalog
+	drained  Drained
 }
 
 // New returns an empty state at revision 0, which drains everything.
@@ -126,6 +128,10 @@
 		return r.decide(index, body.GroupDecision)
 	case *Command_Fence:
 		return r.fence(index, body.Fence)
+	case *Command_ReplaceCatalog:
+		return r.replaceCatalog(body.ReplaceCatalog)
+	case *Command_DrainDomain:
+		return r.drain(index, body.DrainDomain)
 	}
 	return failed(fault.New(fault.BadRequest, "command has no known content"))
 }
--- a/internal/state/registry/snapshot.go
+++ b/internal/state/registry/snapshot.go
@@ -27,6 +27,11 @@
 		History:    r.history,
 		Groups:     sorted(r.groups),
 		Ledger:     ledgerData(r.ledger.State()),
+
+		CatalogVersion: r.catalog.Version,
+		Catalog:        r.catalog.Data,
+		DrainIndex:     r.drained.Index,
+		Drained:        r.drained.FailureDomains,
 	}
 	for _, target := range slices.Sorted(maps.Keys(r.fencing)) {
 		s.Fencing = append(s.Fencing, &FencingNumber{Target: target, Number: r.fencing[target]})
@@ -54,6 +59,7 @@
 	r.nowMS, r.revision, r.current = next.nowMS, next.revision, next.current
 	r.ops, r.history = next.ops, next.history
 	r.groups, r.fencing, r.ledger = next.groups, next.fencing, next.ledger
+	r.catalog, r.drained = next.catalog, next.drained
 	return nil
 }
 
@@ -63,6 +69,8 @@
 	}
 	r := New()
 	r.nowMS, r.revision, r.history = s.NowMs, s.Revision, s.History
+	r.catalog = Catalog{Version: s.CatalogVersion, Data: s.Catalog}
+	r.drained = Drained{Index: s.DrainIndex, FailureDomains: s.Drained}
 	if r.revision > 0 {
 		last := len(s.History) - 1
 		if last < 0 || s.History[last].Revision != s.Revision {
--- /dev/null
+++ b/internal/state/wal/lookup.go
@@ -0,0 +1,49 @@
+package wal
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+
+	"oleanderrack.example/oleanderrack/pkg/fault"
+)
+
+// ReplicaID returns the replica id that a data folder was created for, or 0 if
+// the folder is new.
+func ReplicaID(folder string) (uint64, error) {
+	data, err := os.ReadFile(filepath.Join(folder, identityName))
+	if errors.Is(err, os.ErrNotExist) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, fault.Wrap(err, fault.Internal, "wal: identity of %s cannot be read", folder)
+	}
+	var id identity
+	if err := json.Unmarshal(data, &id); err != nil {
+		return 0, fault.Wrap(err, fault.CorruptData, "wal: identity of %s cannot be decoded", folder)
+	}
+	return id.ID, nil
+}
+
+// Discard empties a data folder, so that the next Open creates a new identity.
+// The identity goes first: a folder without one is never taken for whole.
+func Discard(folder string) error {
+	if err := os.Remove(filepath.Join(folder, identityName)); err != nil {
+		return fault.Wrap(err, fault.Internal, "wal: identity of %s cannot be removed", folder)
+	}
+	files, err := os.ReadDir(folder)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "wal: folder %s cannot be read", folder)
+	}
+	for _, f := range files {
+		if f.Name() == lockName {
+			continue
+		}
+		if err := os.Remove(filepath.Join(folder, f.Name())); err != nil {
+			return fault.Wrap(err, fault.Internal, "wal: %s cannot be removed", f.Name())
+		}
+	}
+	return syncFolder(folder)
+}
--- /dev/null
+++ b/pkg/catalog/catalog.go
@@ -0,0 +1,194 @@
+/*
+Package catalog holds what a deployment serves: routes, the services behind
+them, and the client accounts that may call.
+
+# Concept
+
+A catalog is one whole document with a version that its operators choose. The
+highest version is in force. A route is found by host and the longest path
+prefix, and says what may be repeated, how long a request may take and which
+services share it.
+
+# Use
+
+	c, err := decode(data)           // the format is the operators' own
+	problems := c.Check()            // one line each
+	index := catalog.NewIndex(c)
+	route, ok := index.Route("shop.example", "/orders/7")
+	account, ok := index.Account(key)
+*/
+package catalog
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+//go:generate go tool stringer -type=Kind -linecomment -output=catalog_string.go
+
+// Kind says what may be repeated.
+type Kind uint8
+
+// The kinds of routes. The zero value is the safe one.
+const (
+	NonIdempotent Kind = iota // non_idempotent
+	Idempotent                // idempotent
+	Streaming                 // streaming
+)
+
+// Catalog is what a deployment serves.
+type Catalog struct {
+	Version        uint64
+	Routes         []Route
+	Services       []Service
+	Limits         Limits
+	ClientAccounts []ClientAccount
+}
+
+// Route sends the requests of one host and path prefix to services.
+type Route struct {
+	Name string
+	Host string
+	// PathPrefix begins and ends with a slash.
+	PathPrefix string
+	Kind       Kind
+	// Timeout is the longest time until the final answer.
+	Timeout time.Duration
+	// TargetLatency is the time to the answer, or to the first event, within
+	// which a caller is well served. TargetGap is that between events.
+	TargetLatency time.Duration
+	TargetGap     time.Duration
+	// Priority is the rank; 0 is the most urgent.
+	Priority int
+	Split    []Share
+	// MaxAttempts is the number of backend servers that may work on one
+	// request.
+	MaxAttempts int
+	// Public routes need no key.
+	Public bool
+	// Resumable says that a stream may go on at another backend server.
+	Resumable bool
+}
+
+// Share is a service's part of a route's requests.
+type Share struct {
+	Service string
+	Weight  uint32
+}
+
+// Service is a set of interchangeable backend servers.
+type Service struct {
+	Name           string
+	MaxConnections int
+	// ColdPeriod is how long a backend server stays cold after its start, and
+	// ColdPerSecond the requests a second that it bears meanwhile; 0 if it is
+	// never cold.
+	ColdPeriod    time.Duration
+	ColdPerSecond float64
+	// Engine is nil for a plain service.
+	Engine *Engine
+}
+
+// Engine describes model engines that work on requests in batches.
+type Engine struct {
+	// Slots is the number of requests in one batch.
+	Slots int
+	// MemoryTokens is the number of tokens of all requests in a batch.
+	MemoryTokens int
+	// StepTime is the time of one token step, and RequestStepTime what each
+	// request in the batch adds to it.
+	StepTime        time.Duration
+	RequestStepTime time.Duration
+	// StepsPerPass is the number of token steps in one pass.
+	StepsPerPass int
+	// PrefillPerSecond is the number of prompt tokens read in a second.
+	PrefillPerSecond float64
+	// UsualAnswerTokens is the mean length of an answer.
+	UsualAnswerTokens int
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// ClientAccount is a caller with its keys.
+type ClientAccount struct {
+	Name string
+	Keys []string
+	// Priority goes before that of the route; nil leaves the route's.
+	Priority *int
+}
+
+// Check returns one line for each problem.
+func (c Catalog) Check() []string {
+	k := checker{services: map[string]bool{}}
+	for _, s := range c.Services {
+		k.service(s)
+	}
+	places := map[[2]string]bool{}
+	for _, r := range c.Routes {
+		k.route(r, places)
+	}
+	keys := map[string]string{}
+	for _, a := range c.ClientAccounts {
+		k.account(a, keys)
+	}
+	return k.problems
+}
+
+type checker struct {
+	services map[string]bool
+	problems []string
+}
+
+func (k *checker) add(format string, args ...any) {
+	k.problems = append(k.problems, fmt.Sprintf(format, args...))
+}
+
+func (k *checker) service(s Service) {
+	if s.Name == "" {
+		k.add("a service has no name")
+	}
+	k.services[s.Name] = true
+}
+
+func (k *checker) route(r Route, places map[[2]string]bool) {
+	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
+		k.add("route %q: path prefix %q must begin and end with a slash", r.Name, r.PathPrefix)
+	}
+	place := [2]string{strings.ToLower(r.Host), r.PathPrefix}
+	if places[place] {
+		k.add("route %q: host %q and path prefix %q are taken", r.Name, r.Host, r.PathPrefix)
+	}
+	places[place] = true
+	if r.Timeout <= 0 {
+		k.add("route %q: the timeout must be positive", r.Name)
+	}
+	weight := uint64(0)
+	for _, s := range r.Split {
+		if !k.services[s.Service] {
+			k.add("route %q: service %q does not exist", r.Name, s.Service)
+		}
+		weight += uint64(s.Weight)
+	}
+	if weight == 0 {
+		k.add("route %q: the weights add up to 0", r.Name)
+	}
+}
+
+func (k *checker) account(a ClientAccount, keys map[string]string) {
+	if a.Name == "" {
+		k.add("a client account has no name")
+	}
+	for _, key := range a.Keys {
+		if owner, taken := keys[key]; taken && owner != a.Name {
+			k.add("client accounts %q and %q share a key", owner, a.Name)
+		}
+		keys[key] = a.Name
+	}
+}
