--- /dev/null
+++ b/internal/coordination/ranks/change.go
@@ -0,0 +1,222 @@
+package ranks
+
+import "time"
+
+//go:generate go tool stringer -type=Stage,Result -linecomment -output=ranks_string.go
+
+const (
+	// lead is the number of passes between the newest one known and the one
+	// that a change holds. Reports are some 200 ms old and a pass takes 25 ms
+	// or more, so the order arrives before that pass begins.
+	lead = 10
+	// leadStep is added each time a hold was refused because its pass had begun.
+	leadStep = 6
+	// copyTimeout is the time after which a copy that was ordered is ordered
+	// again. A rank copies for up to two seconds.
+	copyTimeout = 4 * time.Second
+	// calmTime is how long every order must have been answered before a group
+	// is held: a hold lasts until all ranks are armed.
+	calmTime = 3 * time.Second
+)
+
+// Stage says how far a change has come.
+type Stage uint8
+
+// The stages.
+const (
+	Preparing Stage = iota // preparing
+	Holding                // holding
+	Arming                 // arming
+	Going                  // going
+	Switched               // switched
+	Lost                   // lost
+)
+
+// Result is the answer to an order.
+type Result uint8
+
+// The results. An order without an answer may be carried out later.
+const (
+	Unanswered Result = iota // unanswered
+	Accepted                 // accepted
+	Refused                  // refused
+)
+
+// Target is the map that a group should change to. A keeper that takes over a
+// change that another one began knows its version only.
+type Target struct {
+	Version uint64
+	Map     Map
+}
+
+// Directed is an order and the index of the rank that it is for.
+type Directed struct {
+	Rank  int
+	Order Order
+}
+
+// Change brings one group to another map. What a rank has accepted or reported
+// stands: within an epoch nothing is taken back. It is not safe for use by
+// several goroutines. Use NewChange.
+type Change struct {
+	Epoch  uint64
+	Target Target
+	stage  Stage
+	ranks  []rankState
+	pass   uint64 // the newest known
+	tries  uint64 // holds that were refused
+	holder int    // the rank that holds, or -1
+	held   uint64
+	missed time.Time // of the last order without an answer
+}
+
+type rankState struct {
+	prepared bool
+	armed    bool
+	ordered  time.Time // of the last prepare
+}
+
+// NewChange returns a change of a group with a number of ranks.
+func NewChange(epoch uint64, target Target, size int) *Change {
+	return &Change{Epoch: epoch, Target: target, ranks: make([]rankState, size), holder: -1}
+}
+
+// Stage returns how far the change has come.
+func (c *Change) Stage() Stage { return c.stage }
+
+// HasBegun says that a rank is held or armed, so that the change must be
+// completed.
+func (c *Change) HasBegun() bool { return c.stage == Arming || c.stage == Going }
+
+// Observe takes the reports of all ranks, which may be some hundred
+// milliseconds old.
+func (c *Change) Observe(reports []Report) {
+	switched := 0
+	for i, r := range reports {
+		if r.Epoch != c.Epoch || !r.Open {
+			c.stage = Lost
+			return
+		}
+		s := &c.ranks[i]
+		s.prepared = s.prepared || r.Prepared == c.Target.Version || r.Map == c.Target.Version
+		s.armed = s.armed || r.IsArmed
+		c.pass = max(c.pass, r.Pass)
+		if r.Map == c.Target.Version {
+			switched++
+		}
+		if r.IsHeld && c.holder < 0 {
+			c.holder, c.held = i, r.Held
+		}
+	}
+	if switched == len(reports) {
+		c.stage = Switched
+	}
+}
+
+// Next returns the orders to send now.
+func (c *Change) Next(now time.Time) []Directed {
+	switch {
+	case c.stage == Lost || c.stage == Switched:
+		return nil
+	case !c.all(func(s rankState) bool { return s.prepared }):
+		c.stage = Preparing
+		return c.prepare(now)
+	case c.holder < 0:
+		if now.Sub(c.missed) < calmTime {
+			return nil
+		}
+		c.stage = Holding
+		return []Directed{{Rank: 0, Order: Hold{Pass: c.pass + lead + c.tries*leadStep}}}
+	case !c.all(func(s rankState) bool { return s.armed }):
+		c.stage = Arming
+		return c.arm()
+	}
+	c.stage = Going
+	return []Directed{{Rank: c.holder, Order: Go{Pass: c.held}}}
+}
+
+func (c *Change) all(holds func(rankState) bool) bool {
+	for _, s := range c.ranks {
+		if !holds(s) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Change) prepare(now time.Time) []Directed {
+	var orders []Directed
+	for i, s := range c.ranks {
+		if !s.prepared && c.Target.Map != nil && now.Sub(s.ordered) >= copyTimeout {
+			orders = append(orders, Directed{Rank: i, Order: Prepare{Version: c.Target.Version, Map: c.Target.Map}})
+		}
+	}
+	return orders
+}
+
+func (c *Change) arm() []Directed {
+	var orders []Directed
+	for i, s := range c.ranks {
+		if !s.armed {
+			orders = append(orders, Directed{Rank: i, Order: Arm{Version: c.Target.Version, Pass: c.held}})
+		}
+	}
+	return orders
+}
+
+// Answer takes the answer to an order.
+func (c *Change) Answer(now time.Time, d Directed, result Result) {
+	s := &c.ranks[d.Rank]
+	if result == Unanswered {
+		c.missed = now
+	}
+	switch o := d.Order.(type) {
+	case Prepare:
+		s.ordered = now
+	case Hold:
+		switch result {
+		case Accepted:
+			c.holder, c.held = d.Rank, o.Pass
+		case Refused:
+			c.tries++
+		}
+	case Arm:
+		s.armed = s.armed || result == Accepted
+	case Go:
+		if result == Accepted {
+			c.stage = Switched
+		}
+	}
+}
+
+// Unfinished returns the version of a change that another keeper has begun and
+// all ranks have prepared, or 0 if there is none.
+func Unfinished(reports []Report) (version uint64) {
+	begun := false
+	for i, r := range reports {
+		begun = begun || r.IsHeld || r.IsArmed
+		if r.Prepared == 0 || r.Prepared == r.Map || (i > 0 && r.Prepared != version) {
+			return 0
+		}
+		version = r.Prepared
+	}
+	if !begun {
+		return 0
+	}
+	return version
+}
+
+// Leftover returns the orders that release a group which is held though no rank
+// is armed, as after a hold that came late.
+func Leftover(reports []Report) []Directed {
+	var orders []Directed
+	for i, r := range reports {
+		if r.IsArmed {
+			return nil
+		}
+		if r.IsHeld {
+			orders = append(orders, Directed{Rank: i, Order: Go{Pass: r.Held}})
+		}
+	}
+	return orders
+}
--- /dev/null
+++ b/internal/coordination/ranks/keeper.go
@@ -0,0 +1,338 @@
+package ranks
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+
+	"oleanderrack.example/oleanderrack/pkg/catalog"
+)
+
+// Times of the keeper.
+const (
+	// planInterval is the time between two looks at the experts chosen. Each
+	// look makes a group pause for half a millisecond a rank.
+	planInterval = 2500 * time.Millisecond
+	// stepInterval is the time between two tries of orders while a group may be
+	// held.
+	stepInterval = 20 * time.Millisecond
+	// reportInterval is the time between two looks at the reports during a
+	// change. Ranks copy experts for about a second.
+	reportInterval = 600 * time.Millisecond
+	// settleTime is how long after a change the reports of a group may still
+	// show it.
+	settleTime = time.Second
+	// callTimeout bounds a question to a rank, and orderTimeout an order, which
+	// takes a few milliseconds.
+	callTimeout  = 250 * time.Millisecond
+	orderTimeout = 100 * time.Millisecond
+	// maxSteps bounds the rounds of orders without a look at the reports.
+	maxSteps = 8
+	// changeTimeout ends a change that has armed nothing by then.
+	changeTimeout = 15 * time.Second
+	// sampledRanks is the number of ranks of a group whose counts are read:
+	// requests are spread evenly, so a few speak for all.
+	sampledRanks = 2
+)
+
+// Config is what a Keeper needs.
+type Config struct {
+	Engines Engines
+	// Groups returns the groups that are complete now.
+	Groups func() []Group
+	// Spec describes the experts of a service; ok is false if it has none.
+	Spec func(service string) (spec catalog.Experts, ok bool)
+	// Lead returns an error unless this process may send orders, and otherwise
+	// a number that no earlier leader had.
+	Lead func(ctx context.Context) (term uint64, err error)
+}
+
+// Keeper keeps the maps of all groups even while it leads. Use New.
+type Keeper struct {
+	cfg   Config
+	log   hclog.Logger
+	scope tally.Scope
+
+	popularity map[string]*popularity // by service
+	maps       map[string]knownMap    // by group
+	changes    map[string]*change     // by group
+	ended      map[string]time.Time   // of the last change, by group
+	versions   uint64
+}
+
+// knownMap is the map that a group uses.
+type knownMap struct {
+	epoch   uint64
+	version uint64
+	content Map
+}
+
+// change is a change that is open.
+type change struct {
+	*Change
+	began    time.Time
+	observed time.Time
+	changed  Stage
+}
+
+// New starts a keeper. It ends with ctx.
+func New(ctx context.Context, cfg Config, log hclog.Logger, scope tally.Scope) *Keeper {
+	k := &Keeper{
+		cfg: cfg, log: log, scope: scope,
+		popularity: map[string]*popularity{}, maps: map[string]knownMap{}, changes: map[string]*change{}, ended: map[string]time.Time{},
+	}
+	go func() {
+		var planned time.Time
+		timer := time.NewTimer(planInterval)
+		defer timer.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-timer.C:
+			}
+			timer.Reset(k.round(ctx, &planned))
+		}
+	}()
+	return k
+}
+
+// round looks after all groups once and returns when to do so again.
+func (k *Keeper) round(ctx context.Context, planned *time.Time) time.Duration {
+	term, err := k.cfg.Lead(ctx)
+	if err != nil {
+		clear(k.changes)
+		clear(k.maps)
+		return planInterval
+	}
+	groups := k.cfg.Groups()
+	if time.Since(*planned) >= planInterval {
+		*planned = time.Now()
+		k.look(ctx, groups)
+		k.planAll(ctx, term, groups)
+	}
+	wait := planInterval - time.Since(*planned)
+	for _, g := range groups {
+		if c := k.changes[g.Name]; c != nil {
+			wait = min(wait, k.advance(ctx, g, c))
+		}
+	}
+	return max(wait, stepInterval)
+}
+
+// look reads the counts of some ranks of each group.
+func (k *Keeper) look(ctx context.Context, groups []Group) {
+	read := map[string]map[string]Counts{}
+	for _, g := range groups {
+		for _, r := range g.Ranks[:min(sampledRanks, len(g.Ranks))] {
+			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+			counts, err := k.cfg.Engines.Counts(callCtx, r)
+			cancel()
+			if err != nil {
+				k.log.Debug("counts were not read", "backend_server", r.ID, "error", err)
+				continue
+			}
+			if read[g.Service] == nil {
+				read[g.Service] = map[string]Counts{}
+			}
+			read[g.Service][r.ID] = counts
+		}
+	}
+	for service, counts := range read {
+		spec, ok := k.cfg.Spec(service)
+		if !ok {
+			continue
+		}
+		if k.popularity[service] == nil {
+			k.popularity[service] = newPopularity()
+		}
+		k.popularity[service].observe(spec, counts)
+	}
+}
+
+// planAll begins changes where one is worth it, and takes over those that
+// another keeper has left.
+func (k *Keeper) planAll(ctx context.Context, term uint64, groups []Group) {
+	for _, g := range groups {
+		spec, ok := k.cfg.Spec(g.Service)
+		if !ok || k.changes[g.Name] != nil || time.Since(k.ended[g.Name]) < settleTime {
+			continue
+		}
+		reports, ok := k.reports(ctx, g)
+		if !ok || k.takeOver(ctx, g, reports) {
+			continue
+		}
+		if !k.learn(ctx, g, reports, spec) {
+			continue
+		}
+		p := k.popularity[g.Service]
+		if p == nil {
+			continue
+		}
+		plan := p.improve(spec, k.maps[g.Name].content)
+		if plan == nil {
+			continue
+		}
+		k.versions++
+		// Later leaders have higher terms, so versions never repeat.
+		version := term<<24 | k.versions&(1<<24-1)
+		k.open(g, Target{Version: version, Map: plan.next}, reports)
+		k.scope.Counter("map_changes_begun").Inc(1)
+		k.log.Info("map change begins", "group", g.Name, "epoch", g.Epoch, "version", version,
+			"skew_before", plan.before, "skew_after", plan.after, "copies", plan.copies)
+	}
+}
+
+// takeOver completes what another keeper, or an order that came late, has left.
+// It says whether there was anything.
+func (k *Keeper) takeOver(ctx context.Context, g Group, reports []Report) bool {
+	if version := Unfinished(reports); version > 0 {
+		k.log.Warn("map change taken over", "group", g.Name, "epoch", g.Epoch, "version", version)
+		k.open(g, Target{Version: version}, reports)
+		return true
+	}
+	orders := Leftover(reports)
+	if len(orders) == 0 {
+		return false
+	}
+	k.log.Warn("group is released", "group", g.Name, "epoch", g.Epoch, "pass", reports[orders[0].Rank].Held)
+	k.send(ctx, g, &change{Change: NewChange(g.Epoch, Target{}, len(g.Ranks))}, orders)
+	return true
+}
+
+// learn reads the map in use from the ranks, unless it is known.
+func (k *Keeper) learn(ctx context.Context, g Group, reports []Report, spec catalog.Experts) bool {
+	known := k.maps[g.Name]
+	if known.content != nil && known.epoch == g.Epoch && known.version == reports[0].Map {
+		return true
+	}
+	content := make(Map, spec.Sets)
+	for _, r := range g.Ranks {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		version, sets, err := k.cfg.Engines.Experts(callCtx, r)
+		cancel()
+		if err != nil || version != reports[0].Map || len(sets) != spec.Sets {
+			k.log.Debug("map was not read", "group", g.Name, "backend_server", r.ID, "version", version, "sets", len(sets), "error", err)
+			return false
+		}
+		for set := range sets {
+			content[set] = append(content[set], sets[set])
+		}
+	}
+	k.maps[g.Name] = knownMap{epoch: g.Epoch, version: reports[0].Map, content: content}
+	return true
+}
+
+// reports reads the reports of all ranks at once.
+func (k *Keeper) reports(ctx context.Context, g Group) ([]Report, bool) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reports, errs := make([]Report, len(g.Ranks)), make([]error, len(g.Ranks))
+	var group sync.WaitGroup
+	for i, r := range g.Ranks {
+		group.Go(func() { reports[i], errs[i] = k.cfg.Engines.Report(ctx, r) })
+	}
+	group.Wait()
+	if i := slices.IndexFunc(errs, func(err error) bool { return err != nil }); i >= 0 {
+		k.log.Debug("report was not read", "group", g.Name, "backend_server", g.Ranks[i].ID, "error", errs[i])
+		return nil, false
+	}
+	return reports, true
+}
+
+// open begins a change by what the ranks have just reported.
+func (k *Keeper) open(g Group, target Target, reports []Report) {
+	c := &change{Change: NewChange(g.Epoch, target, len(g.Ranks)), began: time.Now(), observed: time.Now()}
+	c.Observe(reports)
+	k.changes[g.Name] = c
+}
+
+// advance takes the next steps of a change and returns when to look again.
+func (k *Keeper) advance(ctx context.Context, g Group, c *change) time.Duration {
+	if g.Epoch != c.Epoch {
+		k.end(g, c, Lost)
+		return planInterval
+	}
+	if time.Since(c.observed) >= reportInterval {
+		if reports, ok := k.reports(ctx, g); ok {
+			c.Observe(reports)
+		}
+		c.observed = time.Now()
+	}
+	for range maxSteps {
+		orders := c.Next(time.Now())
+		if len(orders) == 0 || !k.send(ctx, g, c, orders) {
+			break
+		}
+	}
+	if c.Stage() != c.changed {
+		c.changed = c.Stage()
+		k.log.Info("map change", "group", g.Name, "version", c.Target.Version, "stage", c.changed.String(), "ms", time.Since(c.began).Milliseconds())
+	}
+	switch {
+	case c.Stage() == Lost, c.Stage() == Switched:
+		k.end(g, c, c.Stage())
+	case !c.HasBegun() && time.Since(c.began) > changeTimeout:
+		k.end(g, c, c.Stage())
+	case c.HasBegun():
+		return stepInterval
+	}
+	return reportInterval
+}
+
+func (k *Keeper) end(g Group, c *change, stage Stage) {
+	delete(k.changes, g.Name)
+	k.ended[g.Name] = time.Now()
+	if stage == Switched && c.Target.Map != nil {
+		k.maps[g.Name] = knownMap{epoch: c.Epoch, version: c.Target.Version, content: c.Target.Map}
+	}
+	k.scope.Tagged(map[string]string{"stage": stage.String()}).Counter("map_changes_ended").Inc(1)
+	k.log.Info("map change ended", "group", g.Name, "epoch", c.Epoch, "version", c.Target.Version,
+		"stage", stage.String(), "ms", time.Since(c.began).Milliseconds())
+}
+
+// send sends orders after a quorum has confirmed the leader once more. It says
+// whether all were answered.
+func (k *Keeper) send(ctx context.Context, g Group, c *change, orders []Directed) bool {
+	if _, err := k.cfg.Lead(ctx); err != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	results := make([]Result, len(orders))
+	var group sync.WaitGroup
+	for i, o := range orders {
+		group.Go(func() {
+			var err error
+			results[i], err = k.cfg.Engines.Order(ctx, g.Ranks[o.Rank], c.Epoch, o.Order)
+			k.log.Debug("order", "group", g.Name, "backend_server", g.Ranks[o.Rank].ID, "order", name(o.Order),
+				"version", c.Target.Version, "result", results[i].String(), "error", err)
+		})
+	}
+	group.Wait()
+	now, answered := time.Now(), true
+	for i, o := range orders {
+		c.Answer(now, o, results[i])
+		answered = answered && results[i] != Unanswered
+	}
+	k.scope.Counter("rank_orders").Inc(int64(len(orders)))
+	return answered
+}
+
+func name(o Order) string {
+	switch o.(type) {
+	case Prepare:
+		return "prepare"
+	case Arm:
+		return "arm"
+	case Hold:
+		return "hold"
+	case Go:
+		return "go"
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/internal/coordination/ranks/plan.go
@@ -0,0 +1,108 @@
+package ranks
+
+import (
+	"oleanderrack.example/oleanderrack/internal/coordination/rebalance"
+	"oleanderrack.example/oleanderrack/pkg/catalog"
+)
+
+// Weights and thresholds of a plan.
+const (
+	// popularityWeight is that of a new measurement. What is liked can change
+	// within seconds, so the latest one counts most.
+	popularityWeight = 0.6
+	// targetSkew is the load of the busiest rank over the mean at which a plan
+	// is even enough: copies cost more than the rest would gain.
+	targetSkew = 1.08
+	// minGain is the least improvement of the mean skew over all sets that is
+	// worth a change. Copies slow passes by 15 in 100 for about a second.
+	minGain = 0.12
+)
+
+// popularity is how often the experts of a service are chosen, by set.
+type popularity struct {
+	sets []rebalance.Popularity
+	last map[string]Counts // by rank id
+}
+
+func newPopularity() *popularity { return &popularity{last: map[string]Counts{}} }
+
+// observe takes the counts of several ranks, as differences to the last ones.
+func (p *popularity) observe(spec catalog.Experts, counts map[string]Counts) {
+	if len(p.sets) != spec.Sets {
+		p.sets = make([]rebalance.Popularity, spec.Sets)
+		for i := range p.sets {
+			p.sets[i].Weight = popularityWeight
+		}
+	}
+	for set := range p.sets {
+		sum := make([]uint64, spec.PerSet)
+		for id, c := range counts {
+			addDifference(sum, c, p.last[id], set)
+		}
+		p.sets[set].Observe(sum)
+	}
+	for id, c := range counts {
+		p.last[id] = c
+	}
+}
+
+// addDifference adds what a rank counted since its last report. A rank that
+// has started anew counts from 0.
+func addDifference(sum []uint64, now, before Counts, set int) {
+	if set >= len(now.Sets) || len(now.Sets[set]) != len(sum) {
+		return
+	}
+	for e, n := range now.Sets[set] {
+		if set < len(before.Sets) && e < len(before.Sets[set]) && before.Sets[set][e] <= n {
+			n -= before.Sets[set][e]
+		}
+		sum[e] += n
+	}
+}
+
+// plan is a map that should replace the one in use.
+type plan struct {
+	next Map
+	// before and after are the mean skews over all sets, and copies the experts
+	// that ranks must load.
+	before, after float64
+	copies        int
+}
+
+// improve plans a map for a group, or nil if none is worth a change.
+func (p *popularity) improve(spec catalog.Experts, current Map) *plan {
+	if len(current) != spec.Sets {
+		return nil
+	}
+	out := &plan{next: make(Map, spec.Sets)}
+	for set := range p.sets {
+		shares := p.sets[set].Shares()
+		if shares == nil {
+			return nil
+		}
+		placement := rebalance.Placement(current[set])
+		moves, points := rebalance.ImproveWithin(placement, shares, spec.Places, spec.PerSet, spec.MaxNew, targetSkew)
+		best := cheapest(points)
+		next := placement.Apply(moves[:best.Moves])
+		out.next[set] = next
+		out.before += points[0].Skew / float64(spec.Sets)
+		out.after += best.Skew / float64(spec.Sets)
+		out.copies += placement.Moved(next)
+	}
+	if out.before-out.after < minGain {
+		return nil
+	}
+	return out
+}
+
+// cheapest returns the first point that is nearly as even as the best one.
+func cheapest(points []rebalance.Point) rebalance.Point {
+	const near = 0.02 // difference in skew that one more copy must bring
+	best := points[0]
+	for _, p := range points[1:] {
+		if best.Skew-p.Skew > near*float64(p.Weights-best.Weights)/4 {
+			best = p
+		}
+	}
+	return best
+}
--- a/internal/coordination/rebalance/improve.go
+++ b/internal/coordination/rebalance/improve.go
@@ -49,7 +49,14 @@
 // loads, and the sum of the squared shares over the replicas. The maximum itself
 // is a worse guide: most single moves do not change it.
 func Improve(p Placement, shares []float64, slots, maxWeights int, target float64) ([]Move, []Point) {
+	return ImproveWithin(p, shares, slots, maxWeights, slots, target)
+}
+
+// ImproveWithin is Improve where no rank loads more than a number of experts
+// that it does not carry in p.
+func ImproveWithin(p Placement, shares []float64, slots, maxWeights, maxPerRank int, target float64) ([]Move, []Point) {
 	s := newSearch(p, shares, slots)
+	s.maxPerRank = maxPerRank
 	points := []Point{{Skew: s.skew()}}
 	var moves []Move
 	weights := 0
@@ -88,22 +95,28 @@
 
 // search holds a placement with its loads, in which the mean load is 1.
 type search struct {
-	slots  int
-	share  []float64 // times the number of ranks
-	at     Placement
-	on     [][]int  // ranks of each expert
-	has    [][]bool // rank, expert
-	load   []float64
-	order  []int // ranks, busiest first
-	delta  []float64
-	marked []bool
-	marks  []int
+	slots int
+	// had says which experts each rank carried at the beginning; loaded counts
+	// those it did not, at most maxPerRank.
+	had        [][]bool
+	loaded     []int
+	maxPerRank int
+	share      []float64 // times the number of ranks
+	at         Placement
+	on         [][]int  // ranks of each expert
+	has        [][]bool // rank, expert
+	load       []float64
+	order      []int // ranks, busiest first
+	delta      []float64
+	marked     []bool
+	marks      []int
 }
 
 func newSearch(p Placement, shares []float64, slots int) *search {
 	s := &search{
 		slots: slots, at: p.Clone(), load: p.Loads(shares), share: make([]float64, len(shares)),
 		on: make([][]int, len(shares)), has: make([][]bool, len(p)), order: make([]int, len(p)),
+		had: make([][]bool, len(p)), loaded: make([]int, len(p)), maxPerRank: slots,
 		delta: make([]float64, len(p)), marked: make([]bool, len(p)), marks: make([]int, 0, len(p)),
 	}
 	for e := range shares {
@@ -112,9 +125,11 @@
 	for r := range p {
 		s.order[r] = r
 		s.has[r] = make([]bool, len(shares))
+		s.had[r] = make([]bool, len(shares))
 		for _, e := range p[r] {
 			s.on[e] = append(s.on[e], r)
 			s.has[r][e] = true
+			s.had[r][e] = true
 		}
 	}
 	return s
@@ -138,6 +153,9 @@
 	var best Move
 	bestGain := minGain
 	try := func(m Move) {
+		if !s.mayLoad(m) {
+			return
+		}
 		if gain := -s.change(m) / float64(m.Weights()); gain > bestGain {
 			best, bestGain = m, gain
 		}
@@ -154,6 +172,14 @@
 	return Move{}, false
 }
 
+// mayLoad says whether the ranks of a move may load the experts it brings.
+func (s *search) mayLoad(m Move) bool {
+	if !s.had[m.Rank][m.Expert] && s.loaded[m.Rank] >= s.maxPerRank {
+		return false
+	}
+	return m.With == noRank || s.had[m.With][m.Dropped] || s.loaded[m.With] < s.maxPerRank
+}
+
 // relieve tries replicas of the experts of a hot rank on other ranks, and
 // lighter experts in place of its own.
 func (s *search) relieve(hot int, try func(Move)) {
@@ -277,9 +303,15 @@
 
 func (s *search) carry(rank, old, expert int) {
 	s.at.replace(rank, old, expert)
+	if !s.had[rank][expert] {
+		s.loaded[rank]++
+	}
 	s.has[rank][expert] = true
 	s.on[expert] = append(s.on[expert], rank)
 	if old != empty {
+		if !s.had[rank][old] {
+			s.loaded[rank]--
+		}
 		s.has[rank][old] = false
 		i := slices.Index(s.on[old], rank)
 		s.on[old] = slices.Delete(s.on[old], i, i+1)
--- /dev/null
+++ b/internal/coordination/registrar/groups.go
@@ -0,0 +1,93 @@
+package registrar
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"oleanderrack.example/oleanderrack/internal/coordination/ranks"
+	"oleanderrack.example/oleanderrack/internal/protocol/peer"
+	"oleanderrack.example/oleanderrack/internal/state/directory"
+	"oleanderrack.example/oleanderrack/internal/state/registry"
+	"oleanderrack.example/oleanderrack/pkg/fault"
+)
+
+// Groups returns the groups all of whose ranks have announced themselves in
+// one epoch.
+func (r *Registrar) Groups() []ranks.Group {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	found := map[string]map[uint32]*peer.Announcement{}
+	r.table.Entries(func(e *directory.Entry) {
+		g := e.Announcement.Group
+		if g == nil || g.Broken || g.Size == 0 {
+			return
+		}
+		members := found[g.Name]
+		if members == nil {
+			members = map[uint32]*peer.Announcement{}
+			found[g.Name] = members
+		}
+		if old := members[g.Rank]; old == nil || old.Group.Epoch < g.Epoch {
+			members[g.Rank] = e.Announcement
+		}
+	})
+	var groups []ranks.Group
+	for _, name := range slices.Sorted(maps.Keys(found)) {
+		if g, ok := complete(name, found[name]); ok {
+			groups = append(groups, g)
+		}
+	}
+	return groups
+}
+
+func complete(name string, members map[uint32]*peer.Announcement) (ranks.Group, bool) {
+	first := members[0]
+	if first == nil || len(members) != int(first.Group.Size) {
+		return ranks.Group{}, false
+	}
+	g := ranks.Group{Name: name, Service: first.Service, Epoch: first.Group.Epoch}
+	for i := range first.Group.Size {
+		m := members[i]
+		if m == nil || m.Group.Epoch != g.Epoch {
+			return ranks.Group{}, false
+		}
+		g.Ranks = append(g.Ranks, ranks.Rank{ID: m.Id, Address: m.Address})
+	}
+	return g, true
+}
+
+// Lead returns the term in which a quorum has just confirmed that this
+// registrar leads.
+func (r *Registrar) Lead(ctx context.Context) (uint64, error) {
+	log, _, err := r.core.get()
+	if err != nil {
+		return 0, err
+	}
+	if !log.Status().IsLeader {
+		return 0, fault.New(fault.NotLeader, "this registrar does not lead")
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	return log.Confirm(ctx)
+}
+
+// Catalog returns the newest catalog seen.
+func (r *Registrar) Catalog() registry.Catalog {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.catalog
+}
+
+// ServiceOf returns the service of a backend server.
+func (r *Registrar) ServiceOf(id string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	service := ""
+	r.table.Entries(func(e *directory.Entry) {
+		if e.Announcement.Id == id {
+			service = e.Announcement.Service
+		}
+	})
+	return service
+}
--- a/internal/state/directory/directory.go
+++ b/internal/state/directory/directory.go
@@ -25,6 +25,8 @@
 	"math"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"oleanderrack.example/oleanderrack/internal/protocol/peer"
 )
 
@@ -209,7 +211,7 @@
 	x, y := a.Announcement, b.Announcement
 	difference := a.ColdUntil.Sub(b.ColdUntil).Abs()
 	return x.BornMs == y.BornMs && x.Service == y.Service && x.Address == y.Address &&
-		x.FailureDomain == y.FailureDomain && x.State == y.State && x.Slots == y.Slots && difference < coldStep
+		x.FailureDomain == y.FailureDomain && x.State == y.State && x.Slots == y.Slots && difference < coldStep && proto.Equal(x.Group, y.Group)
 }
 
 // withState returns an incarnation in another state.
@@ -219,9 +221,4 @@
 	return c
 }
 
-func copyOf(a *peer.Announcement) *peer.Announcement {
-	return &peer.Announcement{
-		Id: a.Id, BornMs: a.BornMs, Sequence: a.Sequence, Service: a.Service, Address: a.Address,
-		FailureDomain: a.FailureDomain, State: a.State, Slots: a.Slots, ColdMs: a.ColdMs, AgeMs: a.AgeMs,
-	}
-}
+func copyOf(a *peer.Announcement) *peer.Announcement { return proto.CloneOf(a) }
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -106,6 +106,19 @@
 	PrefillPerSecond float64
 	// UsualAnswerTokens is the mean length of an answer.
 	UsualAnswerTokens int
+	// Experts is nil for engines without ranks.
+	Experts *Experts
+}
+
+// Experts describes the experts of a group of ranks.
+type Experts struct {
+	// Sets is the number of sets of layers, and PerSet that of experts in each.
+	Sets   int
+	PerSet int
+	// Places is the number of experts of a set that fit on a rank, and MaxNew
+	// how many of them one change may bring.
+	Places int
+	MaxNew int
 }
 
 // Limits bound what a caller may send.
