ranks: count a rank as armed only for the version of its change

Change: the armed version and pass are read; a group that is not settled gets no plan; a keeper that takes over waits until reports are newer than its lead. TestOneMapPerPass plays late, lost and stale orders with changing keepers.

--- a/internal/coordination/ranks/change.go
+++ b/internal/coordination/ranks/change.go
@@ -67,7 +67,9 @@
 	tries  uint64 // holds that were refused
 	holder int    // the rank that holds, or -1
 	held   uint64
-	missed time.Time // of the last order without an answer
+	// armedFor is the pass that a rank is armed for, or 0.
+	armedFor uint64
+	missed   time.Time // of the last order without an answer
 }
 
 type rankState struct {
@@ -99,7 +101,9 @@
 		}
 		s := &c.ranks[i]
 		s.prepared = s.prepared || r.Prepared == c.Target.Version || r.Map == c.Target.Version
-		s.armed = s.armed || r.IsArmed
+		if r.Armed == c.Target.Version {
+			s.armed, c.armedFor = true, r.ArmedPass
+		}
 		c.pass = max(c.pass, r.Pass)
 		if r.Map == c.Target.Version {
 			switched++
@@ -121,6 +125,8 @@
 	case !c.all(func(s rankState) bool { return s.prepared }):
 		c.stage = Preparing
 		return c.prepare(now)
+	case c.holder < 0 && c.armedFor > 0:
+		return c.rejoin()
 	case c.holder < 0:
 		if now.Sub(c.missed) < calmTime {
 			return nil
@@ -135,6 +141,16 @@
 	return []Directed{{Rank: c.holder, Order: Go{Pass: c.held}}}
 }
 
+// rejoin goes on with a change of another keeper whose ranks are armed. If all
+// are, the group was let go and has not reached the pass yet.
+func (c *Change) rejoin() []Directed {
+	if c.all(func(s rankState) bool { return s.armed }) {
+		return nil
+	}
+	c.stage = Arming
+	return []Directed{{Rank: 0, Order: Hold{Pass: c.armedFor}}}
+}
+
 func (c *Change) all(holds func(rankState) bool) bool {
 	for _, s := range c.ranks {
 		if !holds(s) {
@@ -172,7 +188,10 @@
 	}
 	switch o := d.Order.(type) {
 	case Prepare:
-		s.ordered = now
+		// A rank that is still armed for the last change refuses.
+		if result != Refused {
+			s.ordered = now
+		}
 	case Hold:
 		switch result {
 		case Accepted:
@@ -194,7 +213,7 @@
 func Unfinished(reports []Report) (version uint64) {
 	begun := false
 	for i, r := range reports {
-		begun = begun || r.IsHeld || r.IsArmed
+		begun = begun || r.IsHeld || r.Armed > 0
 		if r.Prepared == 0 || r.Prepared == r.Map || (i > 0 && r.Prepared != version) {
 			return 0
 		}
@@ -211,7 +230,7 @@
 func Leftover(reports []Report) []Directed {
 	var orders []Directed
 	for i, r := range reports {
-		if r.IsArmed {
+		if r.Armed > 0 {
 			return nil
 		}
 		if r.IsHeld {
--- /dev/null
+++ b/internal/coordination/ranks/change_test.go
@@ -0,0 +1,186 @@
+package ranks
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// engine is a group of ranks that carries out orders as the engines do. Orders
+// may lose their answer and be carried out later.
+type engine struct {
+	epoch  uint64
+	pass   uint64
+	ranks  []engineRank
+	late   []Directed
+	broken string // two maps in one pass
+}
+
+type engineRank struct {
+	version, prepared, armed, armedPass, held uint64
+	highest                                   uint64
+	isHeld                                    bool
+}
+
+func (e *engine) apply(d Directed) Result {
+	r := &e.ranks[d.Rank]
+	switch o := d.Order.(type) {
+	case Prepare:
+		if o.Version <= r.highest || r.armed > 0 {
+			return Refused
+		}
+		r.prepared, r.highest = o.Version, o.Version
+	case Hold:
+		if o.Pass <= e.pass || (r.isHeld && r.held != o.Pass) {
+			return Refused
+		}
+		r.held, r.isHeld = o.Pass, true
+	case Arm:
+		if r.prepared != o.Version || o.Pass <= e.pass {
+			return Refused
+		}
+		r.armed, r.armedPass = o.Version, o.Pass
+	case Go:
+		if !r.isHeld || r.held != o.Pass {
+			return Refused
+		}
+		r.isHeld = false
+	}
+	return Accepted
+}
+
+// advance begins the next pass unless a rank holds it.
+func (e *engine) advance() {
+	for _, r := range e.ranks {
+		if r.isHeld && r.held == e.pass+1 {
+			return
+		}
+	}
+	e.pass++
+	for i := range e.ranks {
+		r := &e.ranks[i]
+		if r.armed > 0 && r.armedPass == e.pass {
+			r.version, r.armed, r.prepared = r.armed, 0, 0
+		}
+	}
+	for _, r := range e.ranks {
+		if r.version != e.ranks[0].version {
+			e.broken = fmt.Sprintf("pass %d: maps %d and %d", e.pass, r.version, e.ranks[0].version)
+		}
+	}
+}
+
+func (e *engine) reports() []Report {
+	var out []Report
+	for _, r := range e.ranks {
+		out = append(out, Report{
+			Epoch: e.epoch, Open: true, Pass: e.pass, Map: r.version, Prepared: r.prepared,
+			Armed: r.armed, ArmedPass: r.armedPass, Held: r.held, IsHeld: r.isHeld,
+		})
+	}
+	return out
+}
+
+// TestOneMapPerPass guards against two maps in one pass and against a group
+// that stays held: orders get no answer and are carried out late, reports are
+// stale, and keepers are replaced at any moment.
+func TestOneMapPerPass(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := &engine{epoch: 1, ranks: make([]engineRank, 4)}
+		now := time.Unix(1000, 0)
+		var history [][]Report
+		fresh := 0 // the first report that the present keeper may use
+		version := uint64(0)
+		var c *Change
+		for range rapid.IntRange(50, 300).Draw(t, "steps") {
+			now = now.Add(50 * time.Millisecond)
+			history = append(history, e.reports())
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0, 1, 2:
+				e.advance()
+			case 3:
+				if len(e.late) > 0 {
+					i := rapid.IntRange(0, len(e.late)-1).Draw(t, "late")
+					e.apply(e.late[i])
+					e.late = append(e.late[:i], e.late[i+1:]...)
+				}
+			case 4:
+				if rapid.IntRange(0, 5).Draw(t, "replaced") == 0 {
+					c, fresh = nil, len(history) // another keeper leads
+				}
+			default:
+				at := len(history) - 1 - rapid.IntRange(0, 3).Draw(t, "age")
+				if at < fresh {
+					continue
+				}
+				stale := history[at]
+				c, version = step(t, e, c, stale, version, now, true)
+			}
+			if e.broken != "" {
+				t.Fatal(e.broken)
+			}
+		}
+		// With answers again, whatever was begun ends and the group goes on.
+		for range 20 {
+			now = now.Add(calmTime)
+			c, version = step(t, e, c, e.reports(), version, now, false)
+			e.advance()
+		}
+		before := e.pass
+		for range 3 {
+			e.advance()
+			c, version = step(t, e, c, e.reports(), version, now.Add(calmTime), false)
+		}
+		if e.broken != "" || (e.pass == before && c == nil) {
+			t.Fatalf("pass %d after %d, broken %q, ranks %+v, version %d", e.pass, before, e.broken, e.ranks, version)
+		}
+	})
+}
+
+// step is what a keeper does: take over, begin, or go on.
+func step(t *rapid.T, e *engine, c *Change, reports []Report, version uint64, now time.Time, lossy bool) (*Change, uint64) {
+	if c == nil {
+		if v := Unfinished(reports); v > 0 {
+			c = NewChange(e.epoch, Target{Version: v}, len(e.ranks))
+		} else if left := Leftover(reports); len(left) > 0 {
+			for _, d := range left {
+				e.apply(d)
+			}
+			return nil, version
+		} else if isSettled(reports) {
+			version++
+			c = NewChange(e.epoch, Target{Version: version, Map: Map{}}, len(e.ranks))
+		} else {
+			return nil, version
+		}
+	}
+	c.Observe(reports)
+	for range maxSteps {
+		orders := c.Next(now)
+		if len(orders) == 0 {
+			break
+		}
+		answered := true
+		for _, d := range orders {
+			result := Unanswered
+			if !lossy || rapid.IntRange(0, 3).Draw(t, "answer") > 0 {
+				result = e.apply(d)
+			} else if rapid.Bool().Draw(t, "carried out") {
+				e.late = append(e.late, d)
+			} else {
+				e.apply(d) // only the answer is lost
+			}
+			c.Answer(now, d, result)
+			answered = answered && result != Unanswered
+		}
+		if !answered {
+			break
+		}
+	}
+	if c.Stage() == Switched || c.Stage() == Lost {
+		return nil, version
+	}
+	return c, version
+}
--- a/internal/coordination/ranks/keeper.go
+++ b/internal/coordination/ranks/keeper.go
@@ -23,8 +23,8 @@
 	// reportInterval is the time between two looks at the reports during a
 	// change. Ranks copy experts for about a second.
 	reportInterval = 600 * time.Millisecond
-	// settleTime is how long after a change the reports of a group may still
-	// show it.
+	// settleTime is how long the reports of a group may not show a change, also
+	// one by the keeper that led before.
 	settleTime = time.Second
 	// callTimeout bounds a question to a rank, and orderTimeout an order, which
 	// takes a few milliseconds.
@@ -62,6 +62,8 @@
 	changes    map[string]*change     // by group
 	ended      map[string]time.Time   // of the last change, by group
 	versions   uint64
+	term       uint64
+	led        time.Time // since when this keeper leads
 }
 
 // knownMap is the map that a group uses.
@@ -109,6 +111,13 @@
 		clear(k.maps)
 		return planInterval
 	}
+	if term != k.term {
+		k.term = term
+		k.led = time.Now()
+	}
+	if time.Since(k.led) < settleTime {
+		return settleTime
+	}
 	groups := k.cfg.Groups()
 	if time.Since(*planned) >= planInterval {
 		*planned = time.Now()
@@ -166,7 +175,7 @@
 		if !ok || k.takeOver(ctx, g, reports) {
 			continue
 		}
-		if !k.learn(ctx, g, reports, spec) {
+		if !isSettled(reports) || !k.learn(ctx, g, reports, spec) {
 			continue
 		}
 		p := k.popularity[g.Service]
@@ -204,6 +213,13 @@
 	return true
 }
 
+// isSettled says that all ranks use one map and none is held or armed.
+func isSettled(reports []Report) bool {
+	return !slices.ContainsFunc(reports, func(r Report) bool {
+		return r.Map != reports[0].Map || r.Armed > 0 || r.IsHeld || !r.Open
+	})
+}
+
 // learn reads the map in use from the ranks, unless it is known.
 func (k *Keeper) learn(ctx context.Context, g Group, reports []Report, spec catalog.Experts) bool {
 	known := k.maps[g.Name]
--- a/internal/coordination/ranks/ranks.go
+++ b/internal/coordination/ranks/ranks.go
@@ -56,8 +56,10 @@
 	Map uint64
 	// Prepared is the version that is ready, or 0.
 	Prepared uint64
-	// IsArmed says that the rank is to switch to its prepared map.
-	IsArmed bool
+	// Armed is the version that the rank is to switch to as ArmedPass begins, or
+	// 0.
+	Armed     uint64
+	ArmedPass uint64
 	// Held is the pass that is held back, if IsHeld.
 	Held   uint64
 	IsHeld bool
