--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -21,6 +21,10 @@
 	// stream, after which a request that may be repeated is tried elsewhere.
 	silenceFactor = 2.5
 	gapFactor     = 8
+	// meanFactor is the least multiple of the mean time to a first answer that
+	// counts as silence: in a burst all backend servers are slow, and trying
+	// elsewhere only adds load.
+	meanFactor = 4
 	// maxBuffered bounds an answer that is held until it is whole. A longer one
 	// is passed on as it comes, and breaks visibly.
 	maxBuffered = 1 << 20
@@ -77,7 +81,10 @@
 	if c.stream.begun {
 		return time.Duration(gapFactor * float64(c.route.TargetGap))
 	}
-	return time.Duration(silenceFactor * float64(c.route.TargetLatency))
+	c.gateway.mu.Lock()
+	mean := c.gateway.pool.FirstAnswer(c.service)
+	c.gateway.mu.Unlock()
+	return max(time.Duration(silenceFactor*float64(c.route.TargetLatency)), meanFactor*mean)
 }
 
 // request returns what this attempt sends.
--- a/internal/coordination/pool/pool.go
+++ b/internal/coordination/pool/pool.go
@@ -304,6 +304,10 @@
 	p.service(serviceName).observe(result, first, held)
 }
 
+// FirstAnswer is the mean time in which a service first answers now, counted
+// from the sending.
+func (p *Pool) FirstAnswer(serviceName string) time.Duration { return p.service(serviceName).first }
+
 // Misdirected notes that another incarnation answers at the address of a
 // backend server: it gets nothing until it announces itself again.
 func (p *Pool) Misdirected(id string) {
--- a/internal/coordination/ranks/keeper.go
+++ b/internal/coordination/ranks/keeper.go
@@ -16,7 +16,7 @@
 const (
 	// planInterval is the time between two looks at the experts chosen. Each
 	// look makes a group pause for half a millisecond a rank.
-	planInterval = 2500 * time.Millisecond
+	planInterval = 700 * time.Millisecond
 	// stepInterval is the time between two tries of orders while a group may be
 	// held.
 	stepInterval = 20 * time.Millisecond
@@ -36,7 +36,7 @@
 	changeTimeout = 15 * time.Second
 	// sampledRanks is the number of ranks of a group whose counts are read:
 	// requests are spread evenly, so a few speak for all.
-	sampledRanks = 2
+	sampledRanks = 8
 )
 
 // Config is what a Keeper needs.
