--- a/internal/coordination/gateway/admit.go
+++ b/internal/coordination/gateway/admit.go
@@ -30,7 +30,7 @@
 
 // admit finds the route and checks everything that needs no backend server.
 func (c *call) admit() *fault.Error {
-	view := c.gateway.current()
+	view := c.gateway.current(c.request.Context())
 	if view == nil {
 		return fault.New(fault.Unavailable, "this entry knows no catalog yet").WithRetryAfter(noViewRetry)
 	}
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -48,6 +48,10 @@
 	queueInterval = 20 * time.Millisecond
 	// expireInterval is how often idle connections are looked at.
 	expireInterval = 500 * time.Millisecond
+	// firstViewWait bounds the wait for the first view. After a start of all
+	// hosts, registrars elect a leader in about a second, and callers of
+	// streams leave after two.
+	firstViewWait = 1600 * time.Millisecond
 	// defaultBodyBytes bounds a body while no catalog says otherwise.
 	defaultBodyBytes = 4 << 20
 	// successSample is the number of successful calls for one log line.
@@ -73,6 +77,7 @@
 	mu      sync.Mutex
 	view    *follower.View
 	pool    *pool.Pool
+	known   chan struct{} // closed with the first view
 	waiting map[*pool.Request]chan pool.Decision
 	served  uint64 // successful calls, for the sample
 	random  *rand.Rand
@@ -87,6 +92,7 @@
 		cfg: cfg, log: log, client: backend.New(cfg.Dialect), metrics: newMetrics(scope),
 		bodies:  budget{limit: cfg.BodyMemory},
 		pool:    pool.New(cfg.Pool),
+		known:   make(chan struct{}),
 		waiting: map[*pool.Request]chan pool.Decision{},
 		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -112,6 +118,9 @@
 func (g *Gateway) Update(v *follower.View) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.view == nil {
+		close(g.known)
+	}
 	g.view = v
 	g.pool.Update(time.Now(), v)
 	g.grant()
@@ -141,7 +150,15 @@
 	return nil
 }
 
-func (g *Gateway) current() *follower.View {
+// current returns the newest view. An entry that has just started waits for its
+// first one for a while: callers cannot know that it is about to come.
+func (g *Gateway) current(ctx context.Context) *follower.View {
+	ctx, cancel := context.WithTimeout(ctx, firstViewWait)
+	defer cancel()
+	select {
+	case <-g.known:
+	case <-ctx.Done():
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.view
--- a/internal/coordination/ranks/plan.go
+++ b/internal/coordination/ranks/plan.go
@@ -14,10 +14,23 @@
 	// is even enough: copies cost more than the rest would gain.
 	targetSkew = 1.08
 	// minGain is the least improvement of the mean skew over all sets that is
-	// worth a change. Copies slow passes by 15 in 100 for about a second.
+	// worth a change of a group whose slots are all taken. Copies slow passes by
+	// 15 in 100 for about a second.
 	minGain = 0.12
+	// minLoad is the least share of slots taken that counts: a group with less
+	// to do gains nothing from shorter passes that its callers would notice.
+	minLoad = 0.15
 )
 
+// load is the share of a group's slots that are taken, at least minLoad.
+func load(spec catalog.Experts, reports []Report) float64 {
+	requests := 0
+	for _, r := range reports {
+		requests += r.Requests
+	}
+	return min(1, max(minLoad, float64(requests)/float64(max(1, spec.Slots*len(reports)))))
+}
+
 // popularity is how often the experts of a service are chosen, by set.
 type popularity struct {
 	sets []rebalance.Popularity
@@ -69,8 +82,9 @@
 	copies        int
 }
 
-// improve plans a map for a group, or nil if none is worth a change.
-func (p *popularity) improve(spec catalog.Experts, current Map) *plan {
+// improve plans a map for a group, or nil if none is worth a change. The less
+// a group has to do, the more a change must bring.
+func (p *popularity) improve(spec catalog.Experts, current Map, load float64) *plan {
 	if len(current) != spec.Sets {
 		return nil
 	}
@@ -82,22 +96,24 @@
 		}
 		placement := rebalance.Placement(current[set])
 		moves, points := rebalance.ImproveWithin(placement, shares, spec.Places, spec.PerSet, spec.MaxNew, targetSkew)
-		best := cheapest(points)
+		best := cheapest(points, near/load)
 		next := placement.Apply(moves[:best.Moves])
 		out.next[set] = next
 		out.before += points[0].Skew / float64(spec.Sets)
 		out.after += best.Skew / float64(spec.Sets)
 		out.copies += placement.Moved(next)
 	}
-	if out.before-out.after < minGain {
+	if out.before-out.after < minGain/load {
 		return nil
 	}
 	return out
 }
 
+// near is the difference in skew that four more copies in a set must bring.
+const near = 0.02
+
 // cheapest returns the first point that is nearly as even as the best one.
-func cheapest(points []rebalance.Point) rebalance.Point {
-	const near = 0.02 // difference in skew that one more copy must bring
+func cheapest(points []rebalance.Point, near float64) rebalance.Point {
 	best := points[0]
 	for _, p := range points[1:] {
 		if best.Skew-p.Skew > near*float64(p.Weights-best.Weights)/4 {
--- a/internal/coordination/ranks/ranks.go
+++ b/internal/coordination/ranks/ranks.go
@@ -50,6 +50,8 @@
 	Open bool
 	// Busy says that an order is in progress.
 	Busy bool
+	// Requests is the number of requests that it holds.
+	Requests int
 	// Pass is the last pass that was begun.
 	Pass uint64
 	// Map is the version in use; 0 is the map that groups form with.
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -115,6 +115,8 @@
 	// Sets is the number of sets of layers, and PerSet that of experts in each.
 	Sets   int
 	PerSet int
+	// Slots is the number of requests that a rank works on at once.
+	Slots int
 	// Places is the number of experts of a set that fit on a rank, and MaxNew
 	// how many of them one change may bring.
 	Places int
