--- /dev/null
+++ b/internal/coordination/pool/pool_test.go
@@ -0,0 +1,241 @@
+package pool
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"oleanderrack.example/oleanderrack/internal/coordination/follower"
+	"oleanderrack.example/oleanderrack/pkg/catalog"
+	"oleanderrack.example/oleanderrack/pkg/fault"
+)
+
+var start = time.Unix(1000, 0)
+
+// world is a pool with n backend servers of four slots.
+func world(cfg Config, n int, change func(*follower.View)) *Pool {
+	cfg.Random = rand.New(rand.NewPCG(1, 2))
+	cfg.FailureDomain = "fes"
+	p := New(cfg)
+	p.Update(start, view(n, change))
+	return p
+}
+
+func view(n int, change func(*follower.View)) *follower.View {
+	v := &follower.View{
+		Index:   catalog.NewIndex(catalog.Catalog{Version: 1, Services: []catalog.Service{{Name: "pool", ColdPerSecond: 20}}}),
+		Drained: map[string]bool{}, Entries: 1,
+	}
+	for i := range n {
+		v.Servers = append(v.Servers, follower.Server{
+			ID: fmt.Sprintf("s%d", i), BornMS: 1, Sequence: 1, Service: "pool", Address: fmt.Sprintf("h:%d", i),
+			FailureDomain: []string{"fes", "meknes"}[i%2], Slots: 4, Received: start,
+		})
+	}
+	if change != nil {
+		change(v)
+	}
+	return v
+}
+
+func request(priority int, arrived time.Time, wait time.Duration) *Request {
+	return &Request{ID: "r", Service: "pool", Priority: priority, Arrived: arrived, Latest: arrived.Add(wait)}
+}
+
+func kindOf(d Decision) string {
+	switch d := d.(type) {
+	case Assign:
+		return "assign"
+	case Wait:
+		return "wait"
+	case Refuse:
+		return "refuse " + d.Reason.String()
+	}
+	return ""
+}
+
+// TestAsk guards against work for backend servers that must get none, and
+// against refusals while there is room.
+func TestAsk(t *testing.T) {
+	tests := map[string]struct {
+		servers int
+		change  func(*follower.View)
+		prepare func(*Pool)
+		request *Request
+		want    string
+	}{
+		"room":      {servers: 2, request: request(1, start, time.Second), want: "assign"},
+		"no server": {servers: 0, request: request(1, start, time.Second), want: "refuse no_server"},
+		"all leave": {servers: 1, change: func(v *follower.View) { v.Servers[0].Draining = true }, request: request(1, start, time.Second), want: "refuse no_server"},
+		"all drained": {
+			servers: 1, change: func(v *follower.View) { v.Drained["fes"] = true },
+			request: request(1, start, time.Second), want: "refuse no_server",
+		},
+		"all tried": {servers: 1, request: &Request{Service: "pool", Tried: []string{"s0"}, Latest: start.Add(time.Second)}, want: "refuse no_server"},
+		"unreachable": {
+			servers: 1, request: request(1, start, time.Second), want: "refuse all_avoided",
+			prepare: func(p *Pool) {
+				p.Ask(start, request(1, start, time.Second))
+				p.Done(start, "pool", "s0", Unreached, 0, 0)
+			},
+		},
+		"another instance": {
+			servers: 1, request: request(1, start, time.Second), want: "refuse no_server",
+			prepare: func(p *Pool) { p.Misdirected("s0") },
+		},
+		"full by others": {
+			servers: 1, request: request(1, start, time.Second), want: "wait",
+			prepare: func(p *Pool) { p.SetOthers(map[string]uint32{"s0": 4}) },
+		},
+		"too late to wait": {
+			servers: 1, request: request(1, start, 0), want: "refuse queue_too_long",
+			prepare: func(p *Pool) { p.SetOthers(map[string]uint32{"s0": 4}) },
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := world(Config{}, test.servers, test.change)
+			if test.prepare != nil {
+				test.prepare(p)
+			}
+			if diff := cmp.Diff(test.want, kindOf(p.Ask(start, test.request))); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestQueue plays a burst: nothing passes the slots, urgent requests go first,
+// what cannot be served in time is refused at once, and room is used as soon
+// as it comes.
+func TestQueue(t *testing.T) {
+	p := world(Config{}, 1, nil)
+	for range 4 {
+		if got := kindOf(p.Ask(start, request(1, start, time.Second))); got != "assign" {
+			t.Fatalf("got %s, want assign", got)
+		}
+	}
+	// The mean time at the backend server becomes 400 ms: 100 ms for each end.
+	p.Done(start, "pool", "s0", Answered, 50*time.Millisecond, 400*time.Millisecond)
+	p.Ask(start, request(1, start, time.Second))
+	later, urgent := request(1, start, time.Second), request(0, start.Add(time.Millisecond), time.Second)
+	got := []string{kindOf(p.Ask(start, later)), kindOf(p.Ask(start, urgent)), kindOf(p.Ask(start, request(1, start, 250*time.Millisecond)))}
+	if diff := cmp.Diff([]string{"wait", "wait", "refuse queue_too_long"}, got); diff != "" {
+		t.Error(diff)
+	}
+	if grants := p.Next(start); len(grants) != 0 {
+		t.Errorf("%d requests were granted without room", len(grants))
+	}
+	p.Done(start, "pool", "s0", Answered, 50*time.Millisecond, 400*time.Millisecond)
+	grants := p.Next(start)
+	if len(grants) != 1 || grants[0].Request != urgent {
+		t.Errorf("the urgent request was not the only one granted: %v", grants)
+	}
+	grants = p.Next(start.Add(time.Second))
+	if len(grants) != 1 || kindOf(grants[0].Decision) != "refuse waited_out" {
+		t.Errorf("the other one was not refused at its time: %v", grants)
+	}
+}
+
+// TestRetryBudget guards against repeats that pile up on a service that fails:
+// all entries together stay within the share.
+func TestRetryBudget(t *testing.T) {
+	const entries, firsts = 4, 50
+	cfg := Config{RetryRatio: 0.2, RetrySlack: 20, RetryWindow: 10 * time.Second}
+	repeats := 0
+	for range entries {
+		p := world(cfg, 4, func(v *follower.View) { v.Entries = entries })
+		for i := range firsts {
+			now := start.Add(time.Duration(i) * 20 * time.Millisecond)
+			r := request(1, now, time.Second)
+			for _, repeat := range []bool{false, true} {
+				r.Repeat = repeat
+				d := p.Ask(now, r)
+				if a, ok := d.(Assign); ok {
+					if repeat {
+						repeats++
+					}
+					p.Done(now, "pool", a.Server.ID, Failed, 0, 0)
+				} else if f, ok := d.(Refuse); !ok || f.Kind != fault.RetryBudgetSpent {
+					t.Fatalf("unexpected decision %v", d)
+				}
+			}
+		}
+	}
+	if limit := int(0.2*entries*firsts) + 20; repeats > limit || repeats < limit/2 {
+		t.Errorf("%d repeats, want up to %d and at least half of it", repeats, limit)
+	}
+}
+
+// TestCold guards against a cold backend server getting more than it bears
+// from all entries together, and against one that has returned with its
+// failure domain being taken for warm.
+func TestCold(t *testing.T) {
+	const entries = 4
+	cold := func(v *follower.View) {
+		v.Entries = entries
+		v.Servers[0].ColdUntil = start.Add(time.Minute)
+		v.Servers[0].Slots = 1000
+	}
+	sent := 0
+	for range entries {
+		p := world(Config{ColdSlack: 5}, 1, cold)
+		for i := range 100 {
+			if kindOf(p.Ask(start.Add(time.Duration(i)*10*time.Millisecond), request(1, start, time.Minute))) == "assign" {
+				sent++
+			}
+		}
+	}
+	if sent > 20+5 || sent < 10 {
+		t.Errorf("%d requests in a second, want 10 to 25", sent)
+	}
+	p := world(Config{}, 1, func(v *follower.View) { v.Drained["fes"] = true })
+	now := start.Add(time.Second)
+	p.Update(now, view(1, nil))
+	if a, ok := p.Ask(now, request(1, now, time.Second)).(Assign); !ok || !a.Cold {
+		t.Errorf("a backend server that has returned is taken for warm: %+v", a)
+	}
+	now = now.Add(time.Second)
+	p.Update(now, view(1, func(v *follower.View) { v.Servers[0].Received, v.Servers[0].Sequence = now, 2 }))
+	if a, ok := p.Ask(now, request(1, now, time.Second)).(Assign); !ok || a.Cold {
+		t.Errorf("one that has announced itself warm is taken for cold: %+v", a)
+	}
+}
+
+// TestAvoid plays a backend server that hangs and comes back: it gets one
+// request at a time until it answers.
+func TestAvoid(t *testing.T) {
+	p := world(Config{}, 1, nil)
+	p.Ask(start, request(1, start, time.Second))
+	p.Done(start, "pool", "s0", Silent, 0, time.Second)
+	now := start.Add(firstAvoid)
+	got := []string{kindOf(p.Ask(now, request(1, now, time.Second))), kindOf(p.Ask(now, request(1, now, time.Second)))}
+	p.Done(now, "pool", "s0", Answered, time.Millisecond, time.Millisecond)
+	got = append(got, kindOf(p.Ask(now, request(1, now, time.Second))), kindOf(p.Ask(now, request(1, now, time.Second))))
+	if diff := cmp.Diff([]string{"assign", "refuse all_avoided", "assign", "assign"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestSlow plays a load on one slow and one sound backend server: the sound one
+// gets most of it.
+func TestSlow(t *testing.T) {
+	p := world(Config{}, 2, func(v *follower.View) { v.Servers[1].FailureDomain = "fes" })
+	got := map[string]int{}
+	for i := range 200 {
+		now := start.Add(time.Duration(i) * 20 * time.Millisecond)
+		a, ok := p.Ask(now, request(1, now, time.Second)).(Assign)
+		if !ok {
+			t.Fatal("not assigned")
+		}
+		got[a.Server.ID]++
+		took := map[string]time.Duration{"s0": 300 * time.Millisecond, "s1": 30 * time.Millisecond}[a.Server.ID]
+		p.Done(now, "pool", a.Server.ID, Answered, took, took)
+	}
+	if got["s0"] > 20 {
+		t.Errorf("the slow backend server got %d of 200 requests, want at most 20", got["s0"])
+	}
+}
