--- /dev/null
+++ b/internal/coordination/registrar/registrar_test.go
@@ -0,0 +1,323 @@
+package registrar
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
+	"github.com/labstack/echo/v4"
+	"github.com/uber-go/tally/v4"
+
+	"oleanderrack.example/oleanderrack/internal/protocol/peer"
+	"oleanderrack.example/oleanderrack/internal/state/directory"
+	"oleanderrack.example/oleanderrack/pkg/fault"
+)
+
+// patience bounds a wait for the group. Elections take up to two seconds on a
+// loaded machine.
+const patience = 30 * time.Second
+
+// group is a set of registrars on loopback.
+type group struct {
+	t     *testing.T
+	seeds []string
+	nodes map[string]*node
+}
+
+type node struct {
+	*Registrar
+	folder string
+	stop   func()
+}
+
+func newGroup(t *testing.T, founders int) *group {
+	g := &group{t: t, nodes: map[string]*node{}}
+	for range founders {
+		g.seeds = append(g.seeds, freeAddress(t))
+	}
+	for _, address := range g.seeds {
+		g.start(address, t.TempDir(), true)
+	}
+	return g
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (g *group) start(address, folder string, founding bool) *node {
+	g.t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	r, err := New(ctx, Config{
+		Cluster: "test", Address: address, FailureDomain: "fes", Folder: folder,
+		Seeds: func() []string { return g.seeds }, Founding: founding, Voters: 3,
+	}, hclog.NewNullLogger(), tally.NoopScope)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	e := echo.New()
+	r.Routes(e)
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	srv := &http.Server{Handler: e}
+	go srv.Serve(l)
+	n := &node{Registrar: r, folder: folder, stop: func() {
+		srv.Close()
+		cancel()
+		if log, _, err := r.core.get(); err == nil {
+			<-log.Done()
+		}
+	}}
+	g.nodes[address] = n
+	g.t.Cleanup(n.stop)
+	return n
+}
+
+func (g *group) stop(address string) *node {
+	n := g.nodes[address]
+	n.stop()
+	delete(g.nodes, address)
+	return n
+}
+
+// eventually tries until f returns nil.
+func (g *group) eventually(what string, f func() error) {
+	g.t.Helper()
+	deadline := time.Now().Add(patience)
+	for {
+		err := f()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			g.t.Fatalf("%s: %v", what, err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (g *group) replace(n *node, version uint64, data string) {
+	g.t.Helper()
+	g.eventually("replace", func() error { return n.ReplaceCatalog(context.Background(), version, []byte(data)) })
+}
+
+func (g *group) read(n *node, version uint64, data string) {
+	g.t.Helper()
+	g.eventually("read", func() error {
+		v, d, err := n.ReadCatalog(context.Background())
+		if err != nil {
+			return err
+		}
+		if diff := cmp.Diff([]any{version, data}, []any{v, string(d)}); diff != "" {
+			g.t.Fatal(diff) // a read that is answered must be right
+		}
+		return nil
+	})
+}
+
+func (g *group) any() *node {
+	for _, n := range g.nodes {
+		return n
+	}
+	return nil
+}
+
+// TestCatalogSurvives guards against an acknowledged catalog being lost or
+// read back in an older state when registrars restart together, and against
+// another content under a known version.
+func TestCatalogSurvives(t *testing.T) {
+	g := newGroup(t, 3)
+	g.replace(g.nodes[g.seeds[0]], 3, "three")
+	g.replace(g.nodes[g.seeds[1]], 3, "another three")
+	g.replace(g.nodes[g.seeds[2]], 2, "two")
+	for _, n := range g.nodes {
+		g.read(n, 3, "three")
+	}
+	g.replace(g.nodes[g.seeds[1]], 8, "eight")
+	var folders []string
+	for _, address := range g.seeds {
+		folders = append(folders, g.stop(address).folder)
+	}
+	for i, address := range g.seeds {
+		g.start(address, folders[i], false)
+	}
+	for _, n := range g.nodes {
+		g.read(n, 8, "eight")
+	}
+}
+
+// TestMinority guards against a registrar that is cut off from the others
+// answering a read or acknowledging a change.
+func TestMinority(t *testing.T) {
+	g := newGroup(t, 3)
+	g.replace(g.any(), 1, "one")
+	g.stop(g.seeds[0])
+	g.stop(g.seeds[1])
+	time.Sleep(2 * time.Second) // longer than an election timeout
+	n := g.nodes[g.seeds[2]]
+	if _, _, err := n.ReadCatalog(context.Background()); err == nil {
+		t.Error("a read was answered without a majority")
+	}
+	if err := n.ReplaceCatalog(context.Background(), 2, []byte("two")); err == nil {
+		t.Error("a change was acknowledged without a majority")
+	}
+}
+
+// TestLostDisk guards against a registrar with a lost disk staying away, and
+// against the loss of what was acknowledged when another disk is lost after it
+// has come back.
+func TestLostDisk(t *testing.T) {
+	g := newGroup(t, 3)
+	g.replace(g.any(), 5, "five")
+	for _, address := range g.seeds[:2] {
+		g.stop(address)
+		n := g.start(address, t.TempDir(), false)
+		g.eventually("become a voter", func() error { return isVoter(n) })
+		g.read(n, 5, "five")
+	}
+}
+
+// TestReplacedHost guards against a new host at another address not taking the
+// place of one that is gone for good.
+func TestReplacedHost(t *testing.T) {
+	g := newGroup(t, 3)
+	g.replace(g.any(), 5, "five")
+	gone := g.seeds[1]
+	g.stop(gone)
+	n := g.start(freeAddress(t), t.TempDir(), false)
+	g.eventually("become a voter", func() error { return isVoter(n) })
+	g.eventually("forget the other", func() error {
+		for _, m := range n.core.status().Members {
+			if m.Address == gone {
+				return fmt.Errorf("%s is still a member", gone)
+			}
+		}
+		return nil
+	})
+	g.read(n, 5, "five")
+}
+
+func isVoter(n *node) error {
+	st := n.core.status()
+	voters := 0
+	found := false
+	for _, m := range st.Members {
+		if m.Voter {
+			voters++
+			found = found || m.Id == st.ID
+		}
+	}
+	if !found || voters != 3 {
+		return fmt.Errorf("%d voters, self among them: %t", voters, found)
+	}
+	return nil
+}
+
+// TestDrain guards against a drained failure domain that followers do not hear
+// of.
+func TestDrain(t *testing.T) {
+	g := newGroup(t, 3)
+	n := g.any()
+	g.eventually("drain", func() error {
+		_, err := n.Drain(context.Background(), &peer.DrainRequest{FailureDomain: "fes", Drained: true})
+		return peer.FromTwirp(err)
+	})
+	for _, n := range g.nodes {
+		g.eventually("hear of it", func() error {
+			res, err := n.Follow(context.Background(), &peer.FollowRequest{Node: &peer.Node{Id: "entry", Role: peer.Role_ROLE_ENTRY}, WaitMs: 50})
+			if err != nil {
+				return err
+			}
+			if len(res.Drained) != 1 {
+				return fmt.Errorf("drained: %v", res.Drained)
+			}
+			return nil
+		})
+	}
+}
+
+// TestAnnounce guards against an acknowledged farewell that is lost with the
+// registrar that took it, and against unreadable announcements being listed.
+func TestAnnounce(t *testing.T) {
+	g := newGroup(t, 3)
+	ctx := context.Background()
+	a := &peer.Announcement{
+		Id: "s1", BornMs: 1, Sequence: 1, Service: "pool", Address: "127.0.0.1:9", FailureDomain: "fes", State: peer.BackendState_BACKEND_STATE_READY,
+	}
+	first := g.nodes[g.seeds[0]]
+	if err := first.Announce(ctx, a); err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range g.nodes {
+		g.eventually("hear of it", func() error { return listed(n, 1) })
+	}
+	if err := first.Announce(ctx, &peer.Announcement{Id: "s1", State: peer.BackendState_BACKEND_STATE_GONE}); err != nil {
+		t.Fatal(err)
+	}
+	// No wait: the acknowledgement means that the others know.
+	g.stop(g.seeds[0])
+	for _, n := range g.nodes {
+		if err := listed(n, 0); err != nil {
+			t.Error(err)
+		}
+	}
+	bad := map[string]*peer.Announcement{
+		"no id":      {State: peer.BackendState_BACKEND_STATE_READY, Service: "pool", Address: "h:1", FailureDomain: "fes"},
+		"no state":   {Id: "x", Service: "pool", Address: "h:1", FailureDomain: "fes"},
+		"no service": {Id: "x", State: peer.BackendState_BACKEND_STATE_READY, Address: "h:1", FailureDomain: "fes"},
+		"no port":    {Id: "x", State: peer.BackendState_BACKEND_STATE_READY, Service: "pool", Address: "h", FailureDomain: "fes"},
+	}
+	for name, a := range bad {
+		t.Run(name, func(t *testing.T) {
+			if err := g.any().Announce(ctx, a); !fault.Is(err, fault.BadRequest) {
+				t.Errorf("error %v, want bad_request", err)
+			}
+		})
+	}
+}
+
+func listed(n *node, want int) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	got := 0
+	n.table.Entries(func(*directory.Entry) { got++ })
+	if got != want {
+		return fmt.Errorf("%d backend servers are listed, want %d", got, want)
+	}
+	return nil
+}
+
+// TestDiskFails guards against a registrar that ends, or forgets what it knew,
+// when its data folder cannot be used.
+func TestDiskFails(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(folder, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	g := &group{t: t, seeds: []string{freeAddress(t)}, nodes: map[string]*node{}}
+	broken := g.start(g.seeds[0], folder, true)
+	if err := broken.Ready(); err == nil {
+		t.Error("a registrar without a disk is ready")
+	}
+	if err := broken.ReplaceCatalog(context.Background(), 2, []byte("two")); err == nil {
+		t.Error("a registrar without a disk acknowledged a change")
+	}
+	if err := os.Remove(folder); err != nil {
+		t.Fatal(err)
+	}
+	g.replace(broken, 2, "two")
+}
--- /dev/null
+++ b/internal/transport/logging/logging_test.go
@@ -0,0 +1,76 @@
+package logging
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// stuck is a standard output that nobody reads.
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+// TestNeverBlocks guards against a standard output that nobody reads delaying
+// requests.
+func TestNeverBlocks(t *testing.T) {
+	out := stuck{release: make(chan struct{})}
+	log, closer := New("entry", "info", out)
+	done := make(chan struct{})
+	go func() {
+		for range 10 * ringLines {
+			log.Error("failed", "request_id", "r1")
+		}
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(30 * time.Second):
+		t.Fatal("logging blocks")
+	}
+	begin := time.Now()
+	closer.Close()
+	if took := time.Since(begin); took > 10*time.Second {
+		t.Errorf("the end took %s", took)
+	}
+	close(out.release)
+}
+
+// TestDropped guards against failures that are dropped for ordinary lines, and
+// against drops that nobody is told of.
+func TestDropped(t *testing.T) {
+	var mu sync.Mutex
+	var out bytes.Buffer
+	log, closer := New("entry", "info", writer(func(p []byte) (int, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		return out.Write(p)
+	}))
+	for range 3 * lineBurst {
+		log.Info("answered")
+	}
+	log.Error("failed", "request_id", "r1")
+	closer.Close()
+	mu.Lock()
+	defer mu.Unlock()
+	if n := strings.Count(out.String(), "answered"); n > lineBurst+linesPerSecond {
+		t.Errorf("%d lines were written", n)
+	}
+	for _, want := range []string{`"request_id":"r1"`, "log lines were dropped"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("the log lacks %s", want)
+		}
+	}
+}
+
+type writer func([]byte) (int, error)
+
+func (w writer) Write(p []byte) (int, error) { return w(p) }
+
+var _ io.Writer = writer(nil)
