registrar: found the group from the disks that are there

Cause: the founders were the hosts of the seeds, so a deployment that must bear the loss of two disks could not have five voters, and a registrar on a host without a disk could not start. Ruled out: all disks as founders: no process knows how many there are. Change: hosts with disks make themselves known at all seeds, the lowest address founds a group of one, the others join and are promoted, first those whose failure domain has the fewest votes; the first catalog waits for the voters. A registrar without a disk passes orders on and is followed by the others.

--- a/internal/coordination/registrar/calls.go
+++ b/internal/coordination/registrar/calls.go
@@ -67,7 +67,10 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	var res *peer.ReplaceResponse
-	err := r.lead(ctx, req.Forwarded, func(log *replica.Replica, _ *registry.Registry) error {
+	err := r.lead(ctx, req.Forwarded, func(log *replica.Replica, state *registry.Registry) error {
+		if err := r.isFormed(log, state); err != nil {
+			return err
+		}
 		result, err := log.Propose(ctx, registry.CatalogCommand(time.Now(), req.Version, req.Catalog))
 		if err != nil {
 			return err
@@ -131,17 +134,21 @@
 	return res, nil
 }
 
-// Join gives a registrar a place as a learner.
+// Join gives a registrar a place as a learner. One without an id asks whether
+// there is a group, and is noted as a founder if there is none.
 func (r *Registrar) Join(ctx context.Context, req *peer.JoinRequest) (*peer.JoinResponse, error) {
-	if req.GetMember().GetId() == 0 || req.Member.Address == "" {
-		return nil, r.refuse("join", fault.New(fault.BadRequest, "join needs an id and an address"))
+	if req.GetMember().GetAddress() == "" {
+		return nil, r.refuse("join", fault.New(fault.BadRequest, "join needs an address"))
+	}
+	if founders := r.noteFounder(req.Member); founders != nil {
+		return &peer.JoinResponse{Founders: founders}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	var res *peer.JoinResponse
 	err := r.lead(ctx, req.Forwarded, func(log *replica.Replica, _ *registry.Registry) error {
 		for _, m := range log.Status().Members {
-			if m.Id == req.Member.Id {
+			if m.Id == req.Member.Id || req.Member.Id == 0 {
 				res = &peer.JoinResponse{Members: log.Status().Members}
 				return nil
 			}
@@ -171,17 +178,17 @@
 	if err != nil && forwarded {
 		return err
 	}
-	st := r.core.status()
-	if err == nil && st.IsLeader {
+	if err == nil && log.Status().IsLeader {
 		return local(log, state)
 	}
+	leader := r.leaderAddress()
 	switch {
 	case forwarded:
 		return fault.New(fault.NotLeader, "this registrar does not lead")
-	case st.LeaderAddress == "" || st.LeaderAddress == r.cfg.Address:
+	case leader == "" || leader == r.cfg.Address:
 		return fault.New(fault.NoQuorum, "no leader is known")
 	}
-	return peer.FromTwirp(remote(r.peer(st.LeaderAddress)))
+	return peer.FromTwirp(remote(r.peer(leader)))
 }
 
 func (r *Registrar) refuse(call string, err error) error {
--- a/internal/coordination/registrar/core.go
+++ b/internal/coordination/registrar/core.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"encoding/binary"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -52,10 +51,11 @@
 	return &core{cfg: cfg, log: log, scope: scope, client: client, onCommit: onCommit}
 }
 
-// run keeps the log open until ctx ends.
-func (c *core) run(ctx context.Context) {
+// run keeps the log open until ctx ends. The first time, a new folder founds the
+// group if found says so.
+func (c *core) run(ctx context.Context, found bool) {
 	for ctx.Err() == nil {
-		if err := c.serve(ctx); err != nil {
+		if err := c.serve(ctx, found); err != nil {
 			c.log.Error("log is closed", "error", err)
 		}
 		select {
@@ -66,8 +66,8 @@
 }
 
 // serve opens the log and returns when it has ended.
-func (c *core) serve(ctx context.Context) error {
-	id, founders, err := c.identity()
+func (c *core) serve(ctx context.Context, found bool) error {
+	id, founders, err := c.identity(found)
 	if err != nil {
 		return err
 	}
@@ -103,38 +103,25 @@
 	return r.Err()
 }
 
-// identity returns the replica's id, and the founders if this is a new folder
-// of a founder. A new folder of an existing group gets an id of its own: the
-// votes and entries of an earlier folder are lost.
-func (c *core) identity() (uint64, []*peer.Member, error) {
-	founders := c.founders()
-	own := founderID(c.cfg.Address)
-	isFounder := slices.ContainsFunc(founders, func(m *peer.Member) bool { return m.Id == own })
+// identity returns the replica's id, and itself as the only member if it founds
+// the group or has founded it. A new folder gets an id of its own: the votes and
+// entries of an earlier one are lost.
+func (c *core) identity(found bool) (uint64, []*peer.Member, error) {
 	id, err := wal.ReplicaID(c.cfg.Folder)
 	if err != nil {
 		return 0, nil, err
 	}
-	switch {
-	case id == 0 && c.cfg.Founding && isFounder:
-		return own, founders, nil
-	case id == 0:
-		return newID(), nil, nil
-	case id == own && c.cfg.Founding && isFounder:
-		return id, founders, nil
+	own := founderID(c.cfg.Address)
+	if id == own || (id == 0 && found) {
+		return own, []*peer.Member{{Id: own, Address: c.cfg.Address, FailureDomain: c.cfg.FailureDomain, Voter: true}}, nil
 	}
-	return id, nil, nil
-}
-
-func (c *core) founders() []*peer.Member {
-	var members []*peer.Member
-	for _, address := range c.cfg.Seeds() {
-		members = append(members, &peer.Member{Id: founderID(address), Address: address, Voter: true})
+	if id == 0 {
+		id = newID()
 	}
-	slices.SortFunc(members, func(a, b *peer.Member) int { return int(min(1, max(-1, int64(a.Id>>1)-int64(b.Id>>1)))) })
-	return slices.CompactFunc(members, func(a, b *peer.Member) bool { return a.Id == b.Id })
+	return id, nil, nil
 }
 
-// founderID is known to all founders before they have met.
+// founderID marks the folder of the registrar that has founded the group.
 func founderID(address string) uint64 { return xxhash.Sum64String(address) | 1 }
 
 // newID returns a random number that is not 0.
@@ -147,7 +134,6 @@
 // abandon leaves a folder whose disk was replaced: the group knows its id with
 // another folder. The next one joins under a new id.
 func (c *core) abandon(cause error) error {
-	c.cfg.Founding = false
 	if err := wal.Discard(c.cfg.Folder); err != nil {
 		return err
 	}
--- a/internal/coordination/registrar/follow.go
+++ b/internal/coordination/registrar/follow.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
 	"oleanderrack.example/oleanderrack/internal/protocol/peer"
+	"oleanderrack.example/oleanderrack/internal/state/registry"
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
 
@@ -44,11 +46,14 @@
 
 // note takes what the follower says of itself.
 func (r *Registrar) note(req *peer.FollowRequest) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if req.GetNode().GetRole() != peer.Role_ROLE_ENTRY {
+		if address := req.GetNode().GetAddress(); address != "" {
+			r.followers[address] = time.Now()
+		}
 		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	f := r.entries[req.Node.Id]
 	if f == nil {
 		f = &follower{}
@@ -93,12 +98,16 @@
 		DrainIndex:     r.drained.Index,
 		Drained:        r.drained.FailureDomains,
 		Members:        r.core.status().Members,
+		Leader:         r.core.status().LeaderAddress,
 		Entries:        uint32(len(r.entries)),
 		Loads:          r.loads(req.GetNode().GetId()),
 	}
 	if r.catalog.Version > req.CatalogVersion {
 		res.Catalog = r.catalog.Data
 	}
+	if len(res.Members) == 0 {
+		res.Members, res.Leader = r.members, r.leader
+	}
 	return res
 }
 
@@ -177,11 +186,11 @@
 func (r *Registrar) followOther(ctx context.Context, address string) {
 	req := &peer.FollowRequest{
 		Node:           &peer.Node{Id: r.cfg.Address, Address: r.cfg.Address, FailureDomain: r.cfg.FailureDomain},
-		CatalogVersion: ^uint64(0), DrainIndex: ^uint64(0), // these come through the log
 		WaitMs: uint32(followWait.Milliseconds()),
 	}
 	connected := false
 	for ctx.Err() == nil {
+		req.CatalogVersion, req.DrainIndex = r.wanted()
 		callCtx, cancel := context.WithTimeout(ctx, followWait+callTimeout)
 		res, err := r.peer(address).Follow(callCtx, req)
 		cancel()
@@ -202,5 +211,44 @@
 		}
 		req.Epoch, req.Since = res.Epoch, res.Version
 		r.apply("registrar", res.Announcements...)
+		r.hear(res)
+	}
+}
+
+// wanted returns the catalog and drained failure domains that others need not
+// send: with a disk they come through the log.
+func (r *Registrar) wanted() (version, index uint64) {
+	if r.cfg.Folder != "" {
+		return math.MaxUint64, math.MaxUint64
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.catalog.Version, r.drained.Index
+}
+
+// hear takes what another registrar knows of the group.
+func (r *Registrar) hear(res *peer.FollowResponse) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(res.Members) > 0 {
+		r.members = res.Members
+	}
+	if res.Leader != "" {
+		r.leader = res.Leader
+	}
+	if r.cfg.Folder != "" {
+		return
+	}
+	news := false
+	if res.CatalogVersion > r.catalog.Version && len(res.Catalog) > 0 {
+		r.catalog, news = registry.Catalog{Version: res.CatalogVersion, Data: res.Catalog}, true
+		r.log.Info("catalog heard of", "version", res.CatalogVersion)
+	}
+	if res.DrainIndex > r.drained.Index {
+		r.drained, news = registry.Drained{Index: res.DrainIndex, FailureDomains: res.Drained}, true
+		r.log.Info("drained failure domains heard of", "index", res.DrainIndex, "drained", res.Drained)
+	}
+	if news {
+		r.alert()
 	}
 }
--- a/internal/coordination/registrar/members.go
+++ b/internal/coordination/registrar/members.go
@@ -91,7 +91,7 @@
 			}
 		case isSilent && now.Sub(since) >= forgetAfter:
 			return &peer.ChangeMemberRequest{Action: peer.ChangeMemberRequest_ACTION_REMOVE, Member: m}
-		case !isSilent && learner == nil:
+		case !isSilent && (learner == nil || votersIn(st.Members, m) < votersIn(st.Members, learner)):
 			learner = m
 		}
 	}
@@ -111,6 +111,18 @@
 	return nil
 }
 
+// votersIn counts the voters in a member's failure domain. The loss of one
+// should cost as few votes as possible.
+func votersIn(members []*peer.Member, of *peer.Member) int {
+	n := 0
+	for _, m := range members {
+		if m.Voter && m.FailureDomain == of.FailureDomain {
+			n++
+		}
+	}
+	return n
+}
+
 func sameAddress(members []*peer.Member, learner *peer.Member) *peer.Member {
 	for _, m := range members {
 		if m.Voter && m.Address == learner.Address && m.Id != learner.Id {
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -54,8 +54,8 @@
 	dialTimeout = 400 * time.Millisecond
 	// expireInterval is how often the directory forgets what is silent.
 	expireInterval = time.Second
-	// entryWindow is how long an entry that has stopped following counts as
-	// one. Shares of common limits are computed from the count, so it must
+	// entryWindow is how long an entry or registrar that has stopped following
+	// counts as one. Shares of common limits are computed from the count, so it must
 	// outlast a restart.
 	entryWindow = 15 * time.Second
 )
@@ -67,11 +67,13 @@
 	// Address is host:port where other processes reach this one.
 	Address       string
 	FailureDomain string
-	Folder        string
+	// Folder is empty on a host without a disk: the registrar then passes
+	// orders on and tells entries what the others know.
+	Folder string
 	// Seeds returns the addresses of some registrars. It may change.
 	Seeds func() []string
-	// Founding says that the system starts for the first time: the registrars
-	// at the seed addresses found the group.
+	// Founding says that the system starts for the first time, so that there is
+	// no group yet.
 	Founding bool
 	// Voters is the number of voters that the group should have.
 	Voters int
@@ -95,6 +97,15 @@
 	catalog registry.Catalog
 	drained registry.Drained
 	peers   map[string]peer.Directory
+	// followers are the registrars that follow this one, by address. Those
+	// without a disk are no members, and what is announced to them is heard of
+	// by following them too.
+	followers map[string]time.Time
+	// members and leader are what other registrars have told.
+	members []*peer.Member
+	leader  string
+	// founders are the registrars that have asked to found the group.
+	founders map[string]bool
 }
 
 // follower is an entry that follows this registrar.
@@ -110,8 +121,8 @@
 
 // New starts a registrar. It ends with ctx.
 func New(ctx context.Context, cfg Config, log hclog.Logger, scope tally.Scope) (*Registrar, error) {
-	if cfg.Address == "" || cfg.Folder == "" || cfg.Cluster == "" || cfg.Voters < 1 {
-		return nil, fault.New(fault.BadSettings, "registrar: address, folder, cluster and a number of voters are needed")
+	if cfg.Address == "" || cfg.Cluster == "" || cfg.Voters < 1 {
+		return nil, fault.New(fault.BadSettings, "registrar: address, cluster and a number of voters are needed")
 	}
 	r := &Registrar{
 		ctx: ctx, cfg: cfg, log: log, scope: scope,
@@ -121,10 +132,17 @@
 		changed: make(chan struct{}),
 		entries: map[string]*follower{},
 		peers:   map[string]peer.Directory{},
+
+		founders:  map[string]bool{},
+		followers: map[string]time.Time{},
 	}
 	r.core = newCore(cfg, log.Named("core"), scope, r.client, r.onCommit)
-	go r.core.run(ctx)
-	go r.keepMembers(ctx)
+	if cfg.Folder != "" {
+		go func() {
+			r.core.run(ctx, r.shouldFound(ctx))
+		}()
+		go r.keepMembers(ctx)
+	}
 	go r.expire(ctx)
 	go r.followOthers(ctx)
 	return r, nil
@@ -142,7 +160,7 @@
 
 // Ready says why the registrar cannot take orders: it knows no leader.
 func (r *Registrar) Ready() error {
-	if r.core.status().Leader == 0 {
+	if r.leaderAddress() == "" {
 		return fault.New(fault.NoQuorum, "no leader is known")
 	}
 	return nil
@@ -254,6 +272,11 @@
 				r.log.Info("entry stopped following", "entry", id)
 			}
 		}
+		for address, seen := range r.followers {
+			if now.Sub(seen) > entryWindow {
+				delete(r.followers, address)
+			}
+		}
 		r.scope.Gauge("entries").Update(float64(len(r.entries)))
 		r.mu.Unlock()
 	}
@@ -284,8 +307,27 @@
 	for _, m := range r.core.status().Members {
 		add(m.Address)
 	}
+	r.mu.Lock()
+	for _, m := range r.members {
+		add(m.Address)
+	}
+	for address := range r.followers {
+		add(address)
+	}
+	r.mu.Unlock()
 	for _, s := range r.cfg.Seeds() {
 		add(s)
 	}
 	return list
 }
+
+// leaderAddress returns the leader that this registrar's log knows, or else the
+// one that others have told of.
+func (r *Registrar) leaderAddress() string {
+	if st := r.core.status(); st.LeaderAddress != "" {
+		return st.LeaderAddress
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leader
+}
--- a/internal/coordination/registrar/registrar_test.go
+++ b/internal/coordination/registrar/registrar_test.go
@@ -62,7 +62,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r, err := New(ctx, Config{
 		Cluster: "test", Address: address, FailureDomain: "fes", Folder: folder,
-		Seeds: func() []string { return g.seeds }, Founding: founding, Voters: 3,
+		Seeds: func() []string { return g.seeds }, Founding: founding, Voters: len(g.seeds),
 	}, hclog.NewNullLogger(), tally.NoopScope)
 	if err != nil {
 		g.t.Fatal(err)
@@ -301,6 +301,24 @@
 	return nil
 }
 
+// TestWithoutDisk guards against a registrar on a host without a disk being of no
+// use: orders through it take effect, and what is announced to it is heard of.
+func TestWithoutDisk(t *testing.T) {
+	g := newGroup(t, 3)
+	n := g.start(freeAddress(t), "", true)
+	g.replace(n, 4, "four")
+	g.read(n, 4, "four")
+	a := &peer.Announcement{
+		Id: "s1", BornMs: 1, Sequence: 1, Service: "pool", Address: "127.0.0.1:9", FailureDomain: "fes", State: peer.BackendState_BACKEND_STATE_READY,
+	}
+	if err := n.Announce(context.Background(), a); err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range g.nodes {
+		g.eventually("hear of it", func() error { return listed(n, 1) })
+	}
+}
+
 // TestDiskFails guards against a registrar that ends, or forgets what it knew,
 // when its data folder cannot be used.
 func TestDiskFails(t *testing.T) {
--- a/internal/state/directory/directory_test.go
+++ b/internal/state/directory/directory_test.go
@@ -22,7 +22,9 @@
 
 func listed(t *Table) map[string]string {
 	got := map[string]string{}
-	t.Entries(func(e *Entry) { got[e.Announcement.Id] = e.Announcement.Address + " " + e.Announcement.State.String()[14:] })
+	t.Entries(func(e *Entry) {
+		got[e.Announcement.Id] = e.Announcement.Address + " " + e.Announcement.State.String()[14:]
+	})
 	return got
 }
 
