membership: hold back the first renewal until the check before it

Cause: the test asked for the lease after New had started the goroutine, whose first renewal could be answered by then; once in some 300 runs it was. Ruled out: a fault of the session: it holds no lease before an answer. Change: the fake control answers the first renewal after the check; the check is as strict as before. Measured: go test -race -count=2000 -run TestFreeze failed before within 2,000 runs, and passes after. Conclusion: mended.

--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -23,6 +23,8 @@
 	delay    time.Duration // before the answer
 	err      error
 	hang     bool // answers never come
+	// checked holds back the first answer until it is closed; nil holds none.
+	checked  chan struct{}
 	renewals []*peer.RenewRequest
 }
 
@@ -35,8 +37,11 @@
 	if req.RunningRevision < f.revision {
 		res.Config = &peer.NodeConfig{Revision: f.revision, Intent: []byte(f.intent)}
 	}
-	delay, hang, err := f.delay, f.hang, f.err
+	delay, hang, err, checked := f.delay, f.hang, f.err, f.checked
 	f.mu.Unlock()
+	if checked != nil {
+		<-checked
+	}
 	if hang {
 		<-ctx.Done()
 		return nil, fault.Wrap(ctx.Err(), fault.Unavailable, "silent")
@@ -74,12 +79,15 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		c := &clock{}
+		checked := make(chan struct{})
+		f.set(func(f *fakeControl) { f.checked = checked })
 		s := New(ctx, Config{
 			Node: &peer.Node{Id: "n"}, Control: f, Now: c.now, Log: hclog.NewNullLogger(), Scope: tally.NoopScope,
 		})
 		if err := s.Lease(); !fault.Is(err, fault.NoLease) {
 			t.Fatalf("lease before the first renewal: %v", err)
 		}
+		close(checked)
 		time.Sleep(100 * time.Millisecond)
 		synctest.Wait()
 		check(t, s, c)
--- a/internal/coordination/registrar/follow.go
+++ b/internal/coordination/registrar/follow.go
@@ -185,7 +185,7 @@
 
 func (r *Registrar) followOther(ctx context.Context, address string) {
 	req := &peer.FollowRequest{
-		Node:           &peer.Node{Id: r.cfg.Address, Address: r.cfg.Address, FailureDomain: r.cfg.FailureDomain},
+		Node:   &peer.Node{Id: r.cfg.Address, Address: r.cfg.Address, FailureDomain: r.cfg.FailureDomain},
 		WaitMs: uint32(followWait.Milliseconds()),
 	}
 	connected := false
