ranks: probe every rank before a group is held; explain tells a request's story

Ruled out: ranks that answer no orders at all (a probe just before the hold was answered); late orders (each other rank answered within 5 ms). Arming without a hold, since a leader that dies between two arms would leave two maps.

--- a/cmd/oleanderrack/main.go
+++ b/cmd/oleanderrack/main.go
@@ -8,6 +8,7 @@
 //	oleanderrack entry -settings FILE         an entry
 //	oleanderrack runner -settings FILE        the agent beside backend servers
 //	oleanderrack plan|confirm|status|drain|return|members [flags]
+//	oleanderrack explain -request ID FILE...  what logs say about a request
 //
 // Each role takes -check to print its effective settings and end.
 package main
@@ -47,6 +48,8 @@
 		return runDev(ctx, args[1:], stdout, stderr)
 	case "control", "entry", "runner":
 		return runRole(ctx, args[0], args[1:], stdout, stderr)
+	case "explain":
+		return runExplain(args[1:], stdout, stderr)
 	case "plan", "confirm", "status", "drain", "return", "members":
 		return operator.Run(ctx, args, stdout, stderr)
 	case "help", "-h", "-help", "--help":
@@ -74,6 +77,7 @@
   drain     stop new work for a failure domain or backend server
   return    allow new work again
   members   show or change the control replicas
+  explain   tell a request's story from logs   -request ID FILE...
 
 oleanderrack COMMAND -h lists the flags of a command.
 `)
--- a/internal/coordination/gateway/fake_test.go
+++ b/internal/coordination/gateway/fake_test.go
@@ -35,9 +35,8 @@
 	// returns false.
 	answer func(conn net.Conn, r *http.Request) bool
 
-	mu   sync.Mutex
-	got  []*http.Request
-	left int // connections that the gateway closed during an answer
+	mu  sync.Mutex
+	got []*http.Request
 }
 
 func newFake(t *testing.T, answer func(net.Conn, *http.Request) bool) *fake {
--- a/internal/coordination/pool/pool.go
+++ b/internal/coordination/pool/pool.go
@@ -22,7 +22,7 @@
 # Use
 
 	p := pool.New(cfg)
-	p.Update(now, servers, drained, drainIndex, entries)
+	p.Update(now, view)
 	switch d := p.Ask(now, request).(type) {
 	case pool.Assign:  // send to d.Server, then p.Done
 	case pool.Wait:    // p.Next tells when, p.Leave ends the wait
@@ -136,14 +136,13 @@
 // Pool is the state of one entry. It is not safe for use by several
 // goroutines. Use New.
 type Pool struct {
-	cfg        Config
-	entries    int
-	drainIndex uint64
-	returned   map[string]time.Time // failure domains and when they came back
-	drained    map[string]bool
-	servers    map[string]*server
-	services   map[string]*service
-	next       uint64
+	cfg      Config
+	entries  int
+	returned map[string]time.Time // failure domains and when they came back
+	drained  map[string]bool
+	servers  map[string]*server
+	services map[string]*service
+	next     uint64
 }
 
 // Grant is a request whose wait is over.
--- a/internal/coordination/ranks/change.go
+++ b/internal/coordination/ranks/change.go
@@ -17,6 +17,9 @@
 	// calmTime is how long every order must have been answered before a group
 	// is held: a hold lasts until all ranks are armed.
 	calmTime = 3 * time.Second
+	// probeTime is how long the answers to a probe count: the hold follows at
+	// once.
+	probeTime = 150 * time.Millisecond
 )
 
 // Stage says how far a change has come.
@@ -70,6 +73,7 @@
 	// armedFor is the pass that a rank is armed for, or 0.
 	armedFor uint64
 	missed   time.Time // of the last order without an answer
+	probed   time.Time // of the last probe of all ranks
 }
 
 type rankState struct {
@@ -132,6 +136,9 @@
 			return nil
 		}
 		c.stage = Holding
+		if now.Sub(c.probed) >= probeTime {
+			return c.probe(now)
+		}
 		return []Directed{{Rank: 0, Order: Hold{Pass: c.pass + lead + c.tries*leadStep}}}
 	case !c.all(func(s rankState) bool { return s.armed }):
 		c.stage = Arming
@@ -141,6 +148,17 @@
 	return []Directed{{Rank: c.holder, Order: Go{Pass: c.held}}}
 }
 
+// probe asks every rank for an answer. A group whose rank answers no orders
+// would stay held until it does.
+func (c *Change) probe(now time.Time) []Directed {
+	c.probed = now
+	orders := make([]Directed, len(c.ranks))
+	for i := range c.ranks {
+		orders[i] = Directed{Rank: i, Order: Probe{}}
+	}
+	return orders
+}
+
 // rejoin goes on with a change of another keeper whose ranks are armed. If all
 // are, the group was let go and has not reached the pass yet.
 func (c *Change) rejoin() []Directed {
--- a/internal/coordination/ranks/change_test.go
+++ b/internal/coordination/ranks/change_test.go
@@ -42,6 +42,8 @@
 			return Refused
 		}
 		r.armed, r.armedPass = o.Version, o.Pass
+	case Probe:
+		return Refused
 	case Go:
 		if !r.isHeld || r.held != o.Pass {
 			return Refused
--- a/internal/coordination/ranks/keeper.go
+++ b/internal/coordination/ranks/keeper.go
@@ -76,9 +76,9 @@
 // change is a change that is open.
 type change struct {
 	*Change
-	began    time.Time
-	observed time.Time
-	changed  Stage
+	began   time.Time
+	asked   time.Time // when reports were last asked for
+	changed Stage
 }
 
 // New starts a keeper. It ends with ctx.
@@ -262,7 +262,7 @@
 
 // open begins a change by what the ranks have just reported.
 func (k *Keeper) open(g Group, target Target, reports []Report) {
-	c := &change{Change: NewChange(g.Epoch, target, len(g.Ranks)), began: time.Now(), observed: time.Now()}
+	c := &change{Change: NewChange(g.Epoch, target, len(g.Ranks)), began: time.Now(), asked: time.Now()}
 	c.Observe(reports)
 	k.changes[g.Name] = c
 }
@@ -273,11 +273,11 @@
 		k.end(g, c, Lost)
 		return planInterval
 	}
-	if time.Since(c.observed) >= reportInterval {
+	if time.Since(c.asked) >= reportInterval {
+		c.asked = time.Now()
 		if reports, ok := k.reports(ctx, g); ok {
 			c.Observe(reports)
 		}
-		c.observed = time.Now()
 	}
 	for range maxSteps {
 		orders := c.Next(time.Now())
@@ -349,6 +349,8 @@
 		return "hold"
 	case Go:
 		return "go"
+	case Probe:
+		return "probe"
 	}
 	return "unknown"
 }
--- a/internal/coordination/ranks/ranks.go
+++ b/internal/coordination/ranks/ranks.go
@@ -9,7 +9,8 @@
 only by what ranks have accepted or reported:
 
  1. prepare: each rank copies the experts that are new to it.
- 2. hold: one rank keeps the group from beginning a pass S that lies ahead.
+ 2. hold: one rank keeps the group from beginning a pass S that lies ahead. Each
+    rank must have answered an order just before.
  3. arm: each rank is told to switch as S begins. An order that comes late finds
     that S has begun, and is refused.
  4. go: once every rank is known to be armed for S, the group may begin S.
@@ -73,7 +74,7 @@
 	Sets  [][]uint64
 }
 
-// Order is one of Prepare, Arm, Hold or Go.
+// Order is one of Prepare, Probe, Hold, Arm or Go.
 type Order interface{ isOrder() }
 
 type (
@@ -91,12 +92,15 @@
 	Hold struct{ Pass uint64 }
 	// Go lets the group begin a pass that is held.
 	Go struct{ Pass uint64 }
+	// Probe changes nothing: its answer shows that the rank answers orders.
+	Probe struct{}
 )
 
 func (Prepare) isOrder() {}
 func (Arm) isOrder()     {}
 func (Hold) isOrder()    {}
 func (Go) isOrder()      {}
+func (Probe) isOrder()   {}
 
 // Engines speaks with ranks. Errors mean that the outcome is unknown.
 type Engines interface {
