--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -136,7 +136,7 @@
 		result = pool.Unreached
 	}
 	a.end(result, err.Error())
-	return a.next(reached, fault.Wrap(err, fault.BackendFailed, "backend server %s", a.to.Server.ID))
+	return a.next(reached, fault.Wrap(err, fault.BackendFailed, "backend server %s gave no answer", a.to.Server.ID))
 }
 
 // next decides whether another attempt follows one that has failed: it returns
--- a/internal/coordination/gateway/call.go
+++ b/internal/coordination/gateway/call.go
@@ -97,7 +97,8 @@
 				return out
 			}
 		case pool.Refuse:
-			return c.giveUp(fault.New(d.Kind, "service %s: %s", c.service, d.Reason).WithRetryAfter(d.RetryAfter), d.Reason.String())
+			return c.giveUp(fault.New(d.Kind, "service %s: %s, %d waiting, %d running, expected wait %d ms",
+				c.service, d.Reason, d.Waiting, d.Running, d.Expected.Milliseconds()).WithRetryAfter(d.RetryAfter), d.Reason.String())
 		default:
 			return c.expired()
 		}
--- a/internal/coordination/pool/pool.go
+++ b/internal/coordination/pool/pool.go
@@ -101,6 +101,10 @@
 	Kind       fault.Kind
 	Reason     Reason
 	RetryAfter time.Duration
+	// Waiting and Running are this entry's requests for the service, and
+	// Expected is the wait that the request had before it.
+	Waiting, Running int
+	Expected         time.Duration
 }
 
 func (Assign) isDecision() {}
@@ -219,7 +223,7 @@
 func (p *Pool) Ask(now time.Time, r *Request) Decision {
 	svc := p.service(r.Service)
 	if r.Repeat && !svc.mayRepeat(now, p.cfg, p.entries) {
-		return Refuse{Kind: fault.RetryBudgetSpent, Reason: RetryBudget, RetryAfter: svc.retryAfter()}
+		return svc.refuse(fault.RetryBudgetSpent, RetryBudget, 0)
 	}
 	ahead := svc.ahead(r)
 	if ahead == 0 {
@@ -233,7 +237,7 @@
 	}
 	expected := svc.expectedWait(ahead)
 	if !now.Add(expected).Before(r.Latest) {
-		return Refuse{Kind: fault.Overloaded, Reason: QueueTooLong, RetryAfter: svc.retryAfter()}
+		return svc.refuse(fault.Overloaded, QueueTooLong, expected)
 	}
 	p.next++
 	r.sequence = p.next
@@ -259,7 +263,7 @@
 	full := false
 	for _, r := range svc.queue {
 		if !now.Before(r.Latest) {
-			grants = append(grants, Grant{Request: r, Decision: Refuse{Kind: fault.Overloaded, Reason: WaitedOut, RetryAfter: svc.retryAfter()}})
+			grants = append(grants, Grant{Request: r, Decision: svc.refuse(fault.Overloaded, WaitedOut, now.Sub(r.Arrived))})
 			continue
 		}
 		if !full {
--- a/internal/coordination/pool/service.go
+++ b/internal/coordination/pool/service.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oleanderrack.example/oleanderrack/pkg/catalog"
+	"oleanderrack.example/oleanderrack/pkg/fault"
 )
 
 const (
@@ -99,16 +100,30 @@
 	if len(s.queue) >= maxQueue {
 		return time.Hour
 	}
-	running := 0
-	for _, srv := range s.servers {
-		running += srv.inFlight
-	}
+	running := s.running()
 	if running == 0 || s.held == 0 {
 		return 0
 	}
 	return time.Duration(float64(s.held) * float64(ahead+1) / float64(running))
 }
 
+// running is the number of this entry's requests at backend servers.
+func (s *service) running() int {
+	n := 0
+	for _, srv := range s.servers {
+		n += srv.inFlight
+	}
+	return n
+}
+
+// refuse returns a refusal with the figures that led to it.
+func (s *service) refuse(kind fault.Kind, reason Reason, expected time.Duration) Refuse {
+	return Refuse{
+		Kind: kind, Reason: reason, RetryAfter: s.retryAfter(),
+		Waiting: len(s.queue), Running: s.running(), Expected: expected,
+	}
+}
+
 // retryAfter is when the queue of now should be served.
 func (s *service) retryAfter() time.Duration {
 	return min(maxRetryAfter, max(minRetryAfter, s.expectedWait(len(s.queue))))
--- a/internal/transport/logging/story.go
+++ b/internal/transport/logging/story.go
@@ -47,7 +47,9 @@
 			continue
 		}
 		fields := map[string]any{}
-		if err := json.Unmarshal(scanner.Bytes()[begin:], &fields); err != nil {
+		decoder := json.NewDecoder(bytes.NewReader(scanner.Bytes()[begin:]))
+		decoder.UseNumber()
+		if err := decoder.Decode(&fields); err != nil {
 			continue // a line of another kind
 		}
 		l := Line{Fields: fields, Source: strings.TrimSpace(source + " " + strings.TrimSpace(string(scanner.Bytes()[:begin])))}
