gateway, follower: stop when cut off if asked to; fresh connections for orders

Cause: a deployment may ask that an entry which is cut off from the registrars stops; a backend server may drop an idle connection without notice, and an order sent on it has an unknown outcome; some accept 56 connections from all entries. Ruled out: a check of the idle connection, which sees nothing of such a drop. Change: registrars tell whether they are on the side of the majority; requests that must not repeat take a new connection; three idle ones are kept.

--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -110,6 +110,7 @@
 	firstAt    time.Time // of the first answer
 	loads      map[string]uint32
 	loadsAt    time.Time
+	confirmed  time.Time // of the last call answered on the side of the majority
 }
 
 // registrar is one address that is followed.
@@ -154,6 +155,14 @@
 	return f.loads
 }
 
+// Confirmed returns when the last call began that a registrar on the side of
+// the majority has answered.
+func (f *Follower) Confirmed() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmed
+}
+
 // survey follows each registrar that is known, and no other.
 func (f *Follower) survey(ctx context.Context) {
 	wanted := f.cfg.Seeds()
@@ -191,6 +200,7 @@
 		req.CatalogVersion, req.DrainIndex = f.have()
 		req.Loads = f.ownLoads()
 		callCtx, cancel := context.WithTimeout(ctx, followWait+callTimeout)
+		begin := time.Now()
 		res, err := client.Follow(callCtx, req)
 		cancel()
 		if err != nil {
@@ -204,7 +214,7 @@
 		}
 		pause = minPause
 		req.Epoch, req.Since = res.Epoch, res.Version
-		f.take(address, r, res)
+		f.take(address, r, res, begin)
 	}
 }
 
@@ -238,7 +248,7 @@
 }
 
 // take merges an answer.
-func (f *Follower) take(address string, r *registrar, res *peer.FollowResponse) {
+func (f *Follower) take(address string, r *registrar, res *peer.FollowResponse, begin time.Time) {
 	index := f.decode(address, res)
 	now := time.Now()
 	f.mu.Lock()
@@ -272,6 +282,9 @@
 		f.members = append(f.members, m.Address)
 	}
 	f.mergeLoads(now, res)
+	if res.HasQuorum && begin.After(f.confirmed) {
+		f.confirmed = begin
+	}
 	if changed && f.view.Load() != nil {
 		f.publish()
 	}
--- a/internal/coordination/gateway/admit.go
+++ b/internal/coordination/gateway/admit.go
@@ -34,6 +34,9 @@
 	if view == nil {
 		return fault.New(fault.Unavailable, "this entry knows no catalog yet").WithRetryAfter(noViewRetry)
 	}
+	if c.gateway.isCutOff(c.arrived) {
+		return fault.New(fault.NoLease, "this entry is cut off from the registrars").WithRetryAfter(noViewRetry)
+	}
 	c.catalogVersion = view.Index.Catalog.Version
 	path, _, _ := strings.Cut(c.target(), "?")
 	route, ok := view.Index.Route(c.request.Host, path)
@@ -137,7 +140,7 @@
 	}
 	return &backend.Request{
 		Method: c.request.Method, Target: c.target(), Host: c.request.Host, ID: c.id,
-		Header: header, Body: c.body, HasBody: c.hasBody,
+		Header: header, Body: c.body, HasBody: c.hasBody, Fresh: !c.mayRepeat(),
 	}
 }
 
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -62,6 +62,11 @@
 type Config struct {
 	Dialect backend.Dialect
 	Pool    pool.Config
+	// MaxUnconfirmed is how long an entry that is cut off from the majority of
+	// registrars goes on; 0 lets it go on with what it knows. Confirmed returns
+	// when it last heard from the majority.
+	MaxUnconfirmed time.Duration
+	Confirmed      func() time.Time
 	// BodyMemory bounds the bytes of request bodies held at once.
 	BodyMemory int64
 }
@@ -147,6 +152,9 @@
 	if g.view == nil {
 		return fault.New(fault.Unavailable, "no catalog is known yet")
 	}
+	if g.isCutOff(time.Now()) {
+		return fault.New(fault.NoLease, "this entry is cut off from the registrars")
+	}
 	return nil
 }
 
@@ -164,6 +172,11 @@
 	return g.view
 }
 
+// isCutOff says whether the entry may no longer trust what it knows.
+func (g *Gateway) isCutOff(now time.Time) bool {
+	return g.cfg.MaxUnconfirmed > 0 && now.Sub(g.cfg.Confirmed()) > g.cfg.MaxUnconfirmed
+}
+
 // tick lets waits end that nothing else ends.
 func (g *Gateway) tick() {
 	g.mu.Lock()
--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -226,6 +226,30 @@
 	}
 }
 
+// TestCutOff guards against an entry that goes on without news from the
+// registrars where it must not, and against one that stops where it may go on.
+func TestCutOff(t *testing.T) {
+	tests := map[string]struct {
+		limit, age time.Duration
+		want       int
+	}{
+		"may go on":     {0, time.Hour, 200},
+		"heard of late": {2 * time.Second, time.Second, 200},
+		"cut off":       {2 * time.Second, 3 * time.Second, 503},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, newFake(t, ok))
+			s.gateway.cfg.MaxUnconfirmed = test.limit
+			s.gateway.cfg.Confirmed = func() time.Time { return time.Now().Add(-test.age) }
+			status, _, _ := s.send(t, "POST", "/once/1", "")
+			if diff := cmp.Diff(test.want, status); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
 // TestDeadline guards against an answer that comes long after the deadline and
 // against more time for backend servers than is left.
 func TestDeadline(t *testing.T) {
--- a/internal/coordination/registrar/follow.go
+++ b/internal/coordination/registrar/follow.go
@@ -17,6 +17,9 @@
 	maxWait = 5 * time.Second
 	// followWait is how long a registrar that follows another waits.
 	followWait = time.Second
+	// quorumMaxAge is how long a registrar without a disk passes on that another
+	// one was on the side of the majority.
+	quorumMaxAge = 1500 * time.Millisecond
 	// followRetry is the pause after a Follow that failed.
 	followRetry = 250 * time.Millisecond
 )
@@ -101,6 +104,9 @@
 		Leader:         r.core.status().LeaderAddress,
 		Entries:        uint32(len(r.entries)),
 		Loads:          r.loads(req.GetNode().GetId()),
+		// A leader steps down and followers forget theirs within an election
+		// timeout of losing the majority.
+		HasQuorum: r.core.status().Leader != 0 || time.Since(r.quorumAt) < quorumMaxAge,
 	}
 	if r.catalog.Version > req.CatalogVersion {
 		res.Catalog = r.catalog.Data
@@ -239,6 +245,9 @@
 	if r.cfg.Folder != "" {
 		return
 	}
+	if res.HasQuorum {
+		r.quorumAt = time.Now()
+	}
 	news := false
 	if res.CatalogVersion > r.catalog.Version && len(res.Catalog) > 0 {
 		r.catalog, news = registry.Catalog{Version: res.CatalogVersion, Data: res.Catalog}, true
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -104,6 +104,8 @@
 	// members and leader are what other registrars have told.
 	members []*peer.Member
 	leader  string
+	// quorumAt is when another registrar last was on the side of the majority.
+	quorumAt time.Time
 	// founders are the registrars that have asked to found the group.
 	founders map[string]bool
 }
--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -43,8 +43,9 @@
 	// dialTimeout bounds a new connection. Within a deployment one takes a few
 	// milliseconds, and a lost opening packet is sent again after a second.
 	dialTimeout = 500 * time.Millisecond
-	// maxIdle is the number of idle connections kept for a backend server.
-	maxIdle = 8
+	// maxIdle is the number of idle connections kept for a backend server. Some
+	// accept no more than 56 from all entries together.
+	maxIdle = 3
 	// defaultIdle is how long an idle connection is kept if the backend server
 	// does not tell its timeout.
 	defaultIdle = 500 * time.Millisecond
@@ -97,6 +98,9 @@
 	Body   []byte
 	// HasBody says that the caller sent a body, maybe an empty one.
 	HasBody bool
+	// Fresh asks for a new connection. A backend server may have dropped an idle
+	// one without notice, and a request that must not repeat is lost on it.
+	Fresh bool
 }
 
 // SendError says how far a request came.
@@ -176,7 +180,7 @@
 // Send writes a request and reads the head of its response. The context bounds
 // everything up to Response.Close.
 func (c *Client) Send(ctx context.Context, address string, req *Request) (*Response, error) {
-	cn, err := c.connect(ctx, address)
+	cn, err := c.connect(ctx, address, req.Fresh)
 	if err != nil {
 		return nil, &SendError{cause: err}
 	}
@@ -259,9 +263,9 @@
 }
 
 // connect takes an idle connection that is still good, or dials.
-func (c *Client) connect(ctx context.Context, address string) (*conn, error) {
+func (c *Client) connect(ctx context.Context, address string, fresh bool) (*conn, error) {
 	now := time.Now()
-	for {
+	for !fresh {
 		cn := c.take(address)
 		if cn == nil {
 			break
--- a/internal/protocol/backend/backend_test.go
+++ b/internal/protocol/backend/backend_test.go
@@ -93,6 +93,26 @@
 	}
 }
 
+// TestFresh guards against a request that must not repeat being sent on a
+// connection that its backend server may have dropped without notice.
+func TestFresh(t *testing.T) {
+	address, count := listen(t, answerAll(""))
+	client := New(dialect)
+	for _, id := range []string{"a", "b"} {
+		req := request(id)
+		req.Fresh = true
+		res, err := client.Send(context.Background(), address, req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, res.Body)
+		res.Close()
+	}
+	if diff := cmp.Diff(int32(2), count.Load()); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // TestNoResend guards against a request being sent again by itself, and
 // against a wrong statement on whether it can have run.
 func TestNoResend(t *testing.T) {
