client, pool, ranks: one transport between processes; drop what nothing uses

Cause: the transport for calls between processes stood twice with other figures, and a reason, two fields and a wire name were used by nothing.

--- a/internal/coordination/control/role.go
+++ b/internal/coordination/control/role.go
@@ -26,7 +26,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -39,6 +38,7 @@
 	"oleanderrack.example/oleanderrack/internal/coordination/replica"
 	"oleanderrack.example/oleanderrack/internal/state/registry"
 	"oleanderrack.example/oleanderrack/internal/transport/auth"
+	"oleanderrack.example/oleanderrack/internal/transport/client"
 	"oleanderrack.example/oleanderrack/internal/transport/metrics"
 	"oleanderrack.example/oleanderrack/internal/transport/server"
 	"oleanderrack.example/oleanderrack/pkg/fault"
@@ -94,8 +94,8 @@
 }
 
 func (r *Role) open(ctx context.Context, s Settings, machine *registry.Registry, system auth.Token, scope tally.Scope) error {
-	client := &http.Client{Transport: auth.Client{Token: system, Base: newTransport()}}
-	transport := replica.NewTransport(s.Region, s.ID, client, scope)
+	calls := &http.Client{Transport: auth.Client{Token: system, Base: client.NewTransport()}}
+	transport := replica.NewTransport(s.Region, s.ID, calls, scope)
 	r.closers = append(r.closers, transport)
 	var err error
 	r.log, err = replica.New(ctx, replica.Config{
@@ -172,19 +172,5 @@
 	return r.server.Address()
 }
 
-// newTransport keeps a few connections per replica. Dialling is bounded, so
-// that a replica that is cut off costs little.
-func newTransport() *http.Transport {
-	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: 8,
-		IdleConnTimeout:     time.Minute,
-	}
-}
-
-// Times of the role.
-const (
-	dialTimeout = 500 * time.Millisecond
-	// transferTimeout bounds the leadership transfer at shutdown.
-	transferTimeout = 3 * time.Second
-)
+// transferTimeout bounds the leadership transfer at shutdown.
+const transferTimeout = 3 * time.Second
--- a/internal/coordination/pool/pool.go
+++ b/internal/coordination/pool/pool.go
@@ -121,7 +121,6 @@
 	QueueTooLong               // queue_too_long
 	WaitedOut                  // waited_out
 	RetryBudget                // retry_budget
-	ColdLimit                  // cold_limit
 )
 
 // Result says how a request ended at a backend server.
@@ -288,7 +287,6 @@
 func (p *Pool) assign(now time.Time, svc *service, r *Request, a Assign) {
 	s := p.servers[a.Server.ID]
 	s.inFlight++
-	s.lastSent = now
 	if a.Cold {
 		s.coldSends = append(s.coldSends, now)
 	}
--- a/internal/coordination/pool/pool_string.go
+++ b/internal/coordination/pool/pool_string.go
@@ -13,12 +13,11 @@
 	_ = x[QueueTooLong-2]
 	_ = x[WaitedOut-3]
 	_ = x[RetryBudget-4]
-	_ = x[ColdLimit-5]
 }
 
-const _Reason_name = "no_serverall_avoidedqueue_too_longwaited_outretry_budgetcold_limit"
+const _Reason_name = "no_serverall_avoidedqueue_too_longwaited_outretry_budget"
 
-var _Reason_index = [...]uint8{0, 9, 20, 34, 44, 56, 66}
+var _Reason_index = [...]uint8{0, 9, 20, 34, 44, 56}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/internal/coordination/pool/server.go
+++ b/internal/coordination/pool/server.go
@@ -59,7 +59,6 @@
 	misdirected bool
 	toldCold    time.Time
 	coldSends   []time.Time
-	lastSent    time.Time
 }
 
 // observe notes how a request ended.
--- a/internal/coordination/ranks/ranks.go
+++ b/internal/coordination/ranks/ranks.go
@@ -49,8 +49,6 @@
 	Epoch uint64
 	// Open says that the group is complete and works.
 	Open bool
-	// Busy says that an order is in progress.
-	Busy bool
 	// Requests is the number of requests that it holds.
 	Requests int
 	// Pass is the last pass that was begun.
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -37,6 +37,7 @@
 	"oleanderrack.example/oleanderrack/internal/protocol/peer"
 	"oleanderrack.example/oleanderrack/internal/state/directory"
 	"oleanderrack.example/oleanderrack/internal/state/registry"
+	"oleanderrack.example/oleanderrack/internal/transport/client"
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
 
@@ -50,8 +51,6 @@
 	// tellTimeout bounds how long an acknowledgement waits for registrars that
 	// do not answer; announcers wait for a second.
 	tellTimeout = 300 * time.Millisecond
-	// dialTimeout bounds a connection attempt within a deployment.
-	dialTimeout = 400 * time.Millisecond
 	// expireInterval is how often the directory forgets what is silent.
 	expireInterval = time.Second
 	// entryWindow is how long an entry or registrar that has stopped following
@@ -128,7 +127,7 @@
 	}
 	r := &Registrar{
 		ctx: ctx, cfg: cfg, log: log, scope: scope,
-		client:  NewClient(),
+		client:  &http.Client{Transport: client.NewTransport()},
 		epoch:   newID(),
 		table:   directory.New(),
 		changed: make(chan struct{}),
@@ -150,16 +149,6 @@
 	return r, nil
 }
 
-// NewClient returns an HTTP client for calls between processes. Connections
-// that hang are closed by the timeout of each call.
-func NewClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second}).DialContext,
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     30 * time.Second,
-	}}
-}
-
 // Ready says why the registrar cannot take orders: it knows no leader.
 func (r *Registrar) Ready() error {
 	if r.leaderAddress() == "" {
