replica: publish the status before callers are answered

Ruled out: load (it failed alone); a transfer that did not happen. Change: a step publishes the status first, then answers transfers and reads.

--- a/internal/coordination/replica/worker.go
+++ b/internal/coordination/replica/worker.go
@@ -274,9 +274,10 @@
 	w.replies = nil
 	w.answerDeliveries()
 	w.dispatch()
+	// Callers that get an answer see the status that goes with it.
+	w.publish()
 	w.endTransfers()
 	w.answerConfirmed()
-	w.publish()
 }
 
 func (w *worker) member(id uint64) *peer.Member {
