hop, gateway, wal, logging: one piece for what stood twice

The list of headers of one connection stood in the caller's protocol and in the gateway; the reader of a data folder's identity, the decoding of a packed catalog, the head of a stream and the limit on gaps stood twice; the log's rate limit was made by hand though the project has a library for it; each read of counts searched the whole directory for a service that the group names; a request's id in the pool, the drain index of a view and a list splitter had no use of their own. Ruled out: joining the agent's list of headers, which is shorter: its answers would lose headers that they pass on today; the platform's listeners with internal/transport/server, whose drain has no end and whose paths differ. Change: internal/transport/hop, readIdentity, decodePacked, beginStream, gapLimit, rate.Limiter, Rank.Service. No bound, check or expectation changes. Conclusion: no behaviour changes.

--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -59,7 +59,7 @@
 	// Seeds returns the addresses of some registrars. It may change.
 	Seeds  func() []string
 	Client *http.Client
-	// Decode reads a catalog as operators have written it.
+	// Decode reads a catalog as registrars hand it out.
 	Decode func([]byte) (catalog.Catalog, error)
 	// Loads returns the requests in flight by backend server.
 	Loads func() map[string]int
@@ -72,9 +72,7 @@
 	Index *catalog.Index
 	// Drained holds the failure domains that get no new work.
 	Drained map[string]bool
-	// DrainIndex is the log index of Drained.
-	DrainIndex uint64
-	Servers    []Server
+	Servers []Server
 	// Entries is the number of entries that share common limits, at least 1.
 	Entries int
 }
@@ -304,11 +302,7 @@
 	if have, _ := f.have(); len(res.Catalog) == 0 || res.CatalogVersion <= have {
 		return nil
 	}
-	data, err := peer.Unpack(res.Catalog)
-	var c catalog.Catalog
-	if err == nil {
-		c, err = f.cfg.Decode(data)
-	}
+	c, err := f.cfg.Decode(res.Catalog)
 	if err != nil {
 		f.scope.Counter("catalogs_unreadable").Inc(1)
 		f.log.Error("catalog cannot be read", "version", res.CatalogVersion, "from", address, "error", err)
@@ -336,7 +330,7 @@
 
 // publish shows what is known. The caller holds f.mu.
 func (f *Follower) publish() {
-	v := &View{Index: f.index, Drained: f.drained, DrainIndex: f.drainIndex, Entries: 1}
+	v := &View{Index: f.index, Drained: f.drained, Entries: 1}
 	for _, r := range f.registrars {
 		v.Entries = max(v.Entries, int(r.entries))
 	}
--- a/internal/coordination/gateway/admit.go
+++ b/internal/coordination/gateway/admit.go
@@ -11,6 +11,7 @@
 
 	"oleanderrack.example/oleanderrack/internal/coordination/pool"
 	"oleanderrack.example/oleanderrack/internal/protocol/backend"
+	"oleanderrack.example/oleanderrack/internal/transport/hop"
 	"oleanderrack.example/oleanderrack/pkg/catalog"
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
@@ -125,12 +126,7 @@
 func (c *call) outgoing() *backend.Request {
 	dialect := &c.gateway.cfg.Dialect
 	header := make(http.Header, len(c.request.Header)+4)
-	dropped := connectionHeaders(c.request.Header)
-	for name, values := range c.request.Header {
-		if !dropped[name] {
-			header[name] = values
-		}
-	}
+	hop.Copy(header, c.request.Header)
 	header.Del(dialect.Key)
 	header.Del(dialect.ClientAccount)
 	header.Del(dialect.Expected)
@@ -144,21 +140,6 @@
 	}
 }
 
-// connectionHeaders names the headers that concern one connection only.
-func connectionHeaders(header http.Header) map[string]bool {
-	names := map[string]bool{
-		"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
-		"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-		"Expect": true, "Content-Length": true, "Host": true,
-	}
-	for _, value := range header["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			names[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	return names
-}
-
 // priority is the client account's, or the route's.
 func (c *call) priority() int {
 	if c.account != nil && c.account.Priority != nil {
@@ -178,7 +159,7 @@
 		latest = c.deadline
 	}
 	return &pool.Request{
-		ID: c.id, Service: c.service, Priority: c.priority(), Arrived: c.arrived, Latest: latest,
+		Service: c.service, Priority: c.priority(), Arrived: c.arrived, Latest: latest,
 		Tried: c.tried, Repeat: c.sends > 0,
 	}
 }
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -12,6 +12,7 @@
 
 	"oleanderrack.example/oleanderrack/internal/coordination/pool"
 	"oleanderrack.example/oleanderrack/internal/protocol/backend"
+	"oleanderrack.example/oleanderrack/internal/transport/hop"
 	"oleanderrack.example/oleanderrack/pkg/catalog"
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
@@ -79,7 +80,7 @@
 		return 0
 	}
 	if c.stream.begun {
-		return time.Duration(gapFactor * float64(c.route.TargetGap))
+		return c.gapLimit()
 	}
 	c.gateway.mu.Lock()
 	mean := c.gateway.pool.FirstAnswer(c.service)
@@ -87,6 +88,12 @@
 	return max(time.Duration(silenceFactor*float64(c.route.TargetLatency)), meanFactor*mean)
 }
 
+// gapLimit is how long a backend server may be silent within a stream.
+func (c *call) gapLimit() time.Duration { return gapFactor * c.route.TargetGap }
+
+// wentSilent says that the attempt was ended for want of an answer.
+func (a *attempt) wentSilent() bool { return errors.Is(context.Cause(a.ctx), errSilent) }
+
 // request returns what this attempt sends.
 func (a *attempt) request() *backend.Request {
 	dialect := &a.call.gateway.cfg.Dialect
@@ -120,7 +127,7 @@
 	if reached {
 		c.runs++
 	}
-	if a.ctx.Err() != nil && !errors.Is(context.Cause(a.ctx), errSilent) {
+	if a.ctx.Err() != nil && !a.wentSilent() {
 		result := pool.Abandoned
 		if c.request.Context().Err() == nil {
 			result = pool.Silent
@@ -130,7 +137,7 @@
 	}
 	result := pool.Failed
 	switch {
-	case errors.Is(context.Cause(a.ctx), errSilent):
+	case a.wentSilent():
 		result = pool.Silent
 	case !reached:
 		result = pool.Unreached
@@ -208,12 +215,12 @@
 // cutOff ends an attempt whose answer ended early.
 func (a *attempt) cutOff(err error) outcome {
 	c := a.call
-	if a.ctx.Err() != nil && !errors.Is(context.Cause(a.ctx), errSilent) {
+	if a.ctx.Err() != nil && !a.wentSilent() {
 		a.end(pool.Abandoned, err.Error())
 		return c.expired()
 	}
 	result := pool.Failed
-	if errors.Is(context.Cause(a.ctx), errSilent) {
+	if a.wentSilent() {
 		result = pool.Silent
 	}
 	a.end(result, "answer cut off: "+err.Error())
@@ -226,7 +233,7 @@
 	if a.silence != nil {
 		a.silence.Stop()
 	}
-	copyHeader(c.writer.Header(), res.Header)
+	hop.Copy(c.writer.Header(), res.Header)
 	if res.ContentLength >= 0 {
 		c.writer.Header().Set("Content-Length", strconv.FormatInt(res.ContentLength, 10))
 	}
@@ -247,7 +254,7 @@
 // deliver writes a whole answer.
 func (c *call) deliver(got *answer) outcome {
 	c.first = time.Since(c.arrived)
-	copyHeader(c.writer.Header(), got.header)
+	hop.Copy(c.writer.Header(), got.header)
 	c.writer.Header().Set("Content-Length", strconv.Itoa(len(got.body)))
 	c.writer.WriteHeader(got.status)
 	if _, err := c.writer.Write(got.body); err != nil && c.request.Method != http.MethodHead {
@@ -266,16 +273,6 @@
 	return c.deliver(c.held)
 }
 
-// copyHeader copies what concerns the answer and not the connection.
-func copyHeader(to, from http.Header) {
-	dropped := connectionHeaders(from)
-	for name, values := range from {
-		if !dropped[name] {
-			to[name] = values
-		}
-	}
-}
-
 func (g *Gateway) misdirected(id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -11,6 +11,7 @@
 
 	"oleanderrack.example/oleanderrack/internal/coordination/pool"
 	"oleanderrack.example/oleanderrack/internal/protocol/backend"
+	"oleanderrack.example/oleanderrack/internal/transport/hop"
 )
 
 const (
@@ -32,8 +33,7 @@
 // go on at another backend server.
 func (a *attempt) passStream(res *backend.Response) outcome {
 	c := a.call
-	resumed := c.stream.begun
-	if !resumed {
+	if !c.stream.begun {
 		c.stream.lastID = c.request.Header.Get(c.gateway.cfg.Dialect.LastEvent)
 	}
 	var held []byte
@@ -77,13 +77,9 @@
 		return nil
 	}
 	if a.silence != nil {
-		a.silence.Reset(time.Duration(gapFactor * float64(c.route.TargetGap)))
-	}
-	if !c.stream.begun {
-		c.stream.begun = true
-		c.first = now.Sub(c.arrived)
-		a.writeHead(res)
+		a.silence.Reset(c.gapLimit())
 	}
+	a.beginStream(res, now)
 	if _, err := c.writer.Write(events); err != nil {
 		return errors.Mark(err, errCaller)
 	}
@@ -100,9 +96,16 @@
 // errGap says that a stream did not go on where the last one ended.
 var errGap = errors.New("events are missing")
 
-func (a *attempt) writeHead(res *backend.Response) {
-	copyHeader(a.call.writer.Header(), res.Header)
-	a.call.writer.WriteHeader(res.Status)
+// beginStream writes the head of the answer, unless an earlier attempt has.
+func (a *attempt) beginStream(res *backend.Response, now time.Time) {
+	c := a.call
+	if c.stream.begun {
+		return
+	}
+	c.stream.begun = true
+	c.first = now.Sub(c.arrived)
+	hop.Copy(c.writer.Header(), res.Header)
+	c.writer.WriteHeader(res.Status)
 }
 
 // writeFailed ends an attempt whose events could not be passed on.
@@ -119,12 +122,7 @@
 
 // streamEnded ends an attempt whose stream is complete.
 func (a *attempt) streamEnded(res *backend.Response) outcome {
-	c := a.call
-	if !c.stream.begun {
-		c.stream.begun = true
-		c.first = time.Since(c.arrived)
-		a.writeHead(res)
-	}
+	a.beginStream(res, time.Now())
 	a.end(pool.Answered, strconv.Itoa(res.Status))
 	return delivered{status: res.Status}
 }
--- a/internal/coordination/pool/pool.go
+++ b/internal/coordination/pool/pool.go
@@ -61,7 +61,6 @@
 
 // Request is one caller's request that needs a backend server.
 type Request struct {
-	ID       string
 	Service  string
 	Priority int
 	Arrived  time.Time
--- a/internal/coordination/pool/pool_test.go
+++ b/internal/coordination/pool/pool_test.go
@@ -42,7 +42,7 @@
 }
 
 func request(priority int, arrived time.Time, wait time.Duration) *Request {
-	return &Request{ID: "r", Service: "pool", Priority: priority, Arrived: arrived, Latest: arrived.Add(wait)}
+	return &Request{Service: "pool", Priority: priority, Arrived: arrived, Latest: arrived.Add(wait)}
 }
 
 func kindOf(d Decision) string {
--- a/internal/coordination/ranks/keeper.go
+++ b/internal/coordination/ranks/keeper.go
@@ -182,7 +182,8 @@
 		if p == nil {
 			continue
 		}
-		plan := p.improve(spec, k.maps[g.Name].content, load(spec, reports))
+		taken := load(spec, reports)
+		plan := p.improve(spec, k.maps[g.Name].content, taken)
 		if plan == nil {
 			continue
 		}
@@ -192,7 +193,7 @@
 		k.open(g, Target{Version: version, Map: plan.next}, reports)
 		k.scope.Counter("map_changes_begun").Inc(1)
 		k.log.Info("map change begins", "group", g.Name, "epoch", g.Epoch, "version", version,
-			"load", load(spec, reports), "skew_before", plan.before, "skew_after", plan.after, "copies", plan.copies)
+			"load", taken, "skew_before", plan.before, "skew_after", plan.after, "copies", plan.copies)
 	}
 }
 
--- a/internal/coordination/ranks/ranks.go
+++ b/internal/coordination/ranks/ranks.go
@@ -30,6 +30,7 @@
 // Rank is where one rank of a group is reached.
 type Rank struct {
 	ID      string
+	Service string
 	Address string
 }
 
--- a/internal/coordination/registrar/groups.go
+++ b/internal/coordination/registrar/groups.go
@@ -52,7 +52,7 @@
 		if m == nil || m.Group.Epoch != g.Epoch {
 			return ranks.Group{}, false
 		}
-		g.Ranks = append(g.Ranks, ranks.Rank{ID: m.Id, Address: m.Address})
+		g.Ranks = append(g.Ranks, ranks.Rank{ID: m.Id, Service: m.Service, Address: m.Address})
 	}
 	return g, true
 }
@@ -78,16 +78,3 @@
 	defer r.mu.Unlock()
 	return r.catalog
 }
-
-// ServiceOf returns the service of a backend server.
-func (r *Registrar) ServiceOf(id string) string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	service := ""
-	r.table.Entries(func(e *directory.Entry) {
-		if e.Announcement.Id == id {
-			service = e.Announcement.Service
-		}
-	})
-	return service
-}
--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -32,6 +32,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -247,13 +248,12 @@
 // idleFor returns how long a connection may be idle by the response's
 // Keep-Alive header.
 func idleFor(header http.Header) time.Duration {
-	const parameter = "timeout="
-	value := header.Get("Keep-Alive")
-	for part := range splitList(value) {
-		if len(part) <= len(parameter) || part[:len(parameter)] != parameter {
+	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok || value == "" {
 			continue
 		}
-		seconds, err := strconv.Atoi(part[len(parameter):])
+		seconds, err := strconv.Atoi(value)
 		if err != nil || seconds < 1 {
 			return 0
 		}
--- a/internal/protocol/backend/idle.go
+++ b/internal/protocol/backend/idle.go
@@ -2,9 +2,7 @@
 
 import (
 	"errors"
-	"iter"
 	"net"
-	"strings"
 	"syscall"
 )
 
@@ -31,14 +29,3 @@
 	})
 	return err == nil && quiet
 }
-
-// splitList yields the elements of a comma-separated header value.
-func splitList(value string) iter.Seq[string] {
-	return func(yield func(string) bool) {
-		for part := range strings.SplitSeq(value, ",") {
-			if !yield(strings.TrimSpace(part)) {
-				return
-			}
-		}
-	}
-}
--- a/internal/protocol/caller/headers.go
+++ b/internal/protocol/caller/headers.go
@@ -6,29 +6,23 @@
 	"strings"
 
 	"oleanderrack.example/oleanderrack/internal/protocol/peer"
+	"oleanderrack.example/oleanderrack/internal/transport/hop"
 )
 
 // isOwn says whether a header concerns one hop or this interface only. The
 // bearer key stays here, and an Idempotency-Key header would allow an HTTP
 // transport further on to send the request twice.
 func isOwn(name string) bool {
-	switch http.CanonicalHeaderKey(name) {
-	case "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-		"Transfer-Encoding", "Upgrade", "Expect", "Content-Length", "Host", "Authorization", "Idempotency-Key",
-		"X-Idempotency-Key", deadlineHeader, "X-Priority", requestIDHeader:
+	switch name = http.CanonicalHeaderKey(name); name {
+	case "Authorization", "Idempotency-Key", "X-Idempotency-Key", deadlineHeader, "X-Priority", requestIDHeader:
 		return true
 	}
-	return false
+	return hop.IsHeader(name)
 }
 
 // forwarded returns the headers for the backend server, sorted by name.
 func forwarded(h http.Header) []*peer.Header {
-	named := map[string]bool{}
-	for _, v := range h.Values("Connection") {
-		for _, name := range strings.Split(v, ",") {
-			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
+	named := hop.Named(h)
 	var out []*peer.Header
 	for name, values := range h {
 		if isOwn(name) || named[name] {
--- a/internal/state/wal/identity.go
+++ b/internal/state/wal/identity.go
@@ -44,17 +44,13 @@
 // openIdentity reads the identity, or creates it in an empty folder. Log or
 // snapshot files without an identity are not taken over.
 func (l *Log) openIdentity() (identity, bool, error) {
-	data, err := os.ReadFile(filepath.Join(l.folder, identityName))
-	if errors.Is(err, os.ErrNotExist) {
-		id, err := l.createIdentity()
-		return id, true, err
-	}
+	id, found, err := readIdentity(l.folder)
 	if err != nil {
-		return identity{}, false, fault.Wrap(err, fault.Internal, "wal: identity of %s cannot be read", l.folder)
+		return identity{}, false, err
 	}
-	var id identity
-	if err := json.Unmarshal(data, &id); err != nil {
-		return identity{}, false, fault.Wrap(err, fault.CorruptData, "wal: identity of %s cannot be decoded", l.folder)
+	if !found {
+		id, err := l.createIdentity()
+		return id, true, err
 	}
 	if id.Format != formatVersion || id.Folder == 0 {
 		return identity{}, false, fault.New(fault.CorruptData, "wal: identity of %s has format %d, want %d", l.folder, id.Format, formatVersion)
@@ -66,6 +62,21 @@
 	return id, false, nil
 }
 
+// readIdentity reads the identity file; found is false if there is none.
+func readIdentity(folder string) (id identity, found bool, err error) {
+	data, err := os.ReadFile(filepath.Join(folder, identityName))
+	if errors.Is(err, os.ErrNotExist) {
+		return identity{}, false, nil
+	}
+	if err != nil {
+		return identity{}, false, fault.Wrap(err, fault.Internal, "wal: identity of %s cannot be read", folder)
+	}
+	if err := json.Unmarshal(data, &id); err != nil {
+		return identity{}, false, fault.Wrap(err, fault.CorruptData, "wal: identity of %s cannot be decoded", folder)
+	}
+	return id, true, nil
+}
+
 func (l *Log) createIdentity() (identity, error) {
 	files, err := os.ReadDir(l.folder)
 	if err != nil {
--- a/internal/state/wal/lookup.go
+++ b/internal/state/wal/lookup.go
@@ -1,30 +1,17 @@
 package wal
 
 import (
-	"encoding/json"
 	"os"
 	"path/filepath"
 
-	"github.com/cockroachdb/errors"
-
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
 
 // ReplicaID returns the replica id that a data folder was created for, or 0 if
 // the folder is new.
 func ReplicaID(folder string) (uint64, error) {
-	data, err := os.ReadFile(filepath.Join(folder, identityName))
-	if errors.Is(err, os.ErrNotExist) {
-		return 0, nil
-	}
-	if err != nil {
-		return 0, fault.Wrap(err, fault.Internal, "wal: identity of %s cannot be read", folder)
-	}
-	var id identity
-	if err := json.Unmarshal(data, &id); err != nil {
-		return 0, fault.Wrap(err, fault.CorruptData, "wal: identity of %s cannot be decoded", folder)
-	}
-	return id.ID, nil
+	id, _, err := readIdentity(folder)
+	return id.ID, err
 }
 
 // Discard empties a data folder, so that the next Open creates a new identity.
--- a/internal/transport/logging/logging.go
+++ b/internal/transport/logging/logging.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -37,7 +38,7 @@
 
 // New returns a logger of JSON lines and a closer that writes what waits.
 func New(name, level string, out io.Writer) (hclog.Logger, io.Closer) {
-	r := &ring{out: out, lines: make(chan []byte, ringLines), done: make(chan struct{}), tokens: lineBurst, refilled: time.Now()}
+	r := &ring{out: out, lines: make(chan []byte, ringLines), done: make(chan struct{}), limit: rate.NewLimiter(linesPerSecond, lineBurst)}
 	go func() {
 		defer close(r.done)
 		for line := range r.lines {
@@ -58,11 +59,11 @@
 	dropped atomic.Int64
 	done    chan struct{}
 
-	mu       sync.Mutex
-	closed   bool
-	lines    chan []byte
-	tokens   float64
-	refilled time.Time
+	limit *rate.Limiter // of informational lines
+
+	mu     sync.Mutex
+	closed bool
+	lines  chan []byte
 }
 
 // isUrgent recognizes warnings and errors in hclog's JSON form.
@@ -77,7 +78,7 @@
 	if r.closed {
 		return len(line), nil
 	}
-	if !isUrgent(line) && (len(r.lines) >= ringLines-reserve || !r.take()) {
+	if !isUrgent(line) && (len(r.lines) >= ringLines-reserve || !r.limit.Allow()) {
 		r.dropped.Add(1)
 		return len(line), nil
 	}
@@ -89,18 +90,6 @@
 	return len(line), nil
 }
 
-// take draws a token. The caller holds r.mu.
-func (r *ring) take() bool {
-	now := time.Now()
-	r.tokens = min(lineBurst, r.tokens+linesPerSecond*now.Sub(r.refilled).Seconds())
-	r.refilled = now
-	if r.tokens < 1 {
-		return false
-	}
-	r.tokens--
-	return true
-}
-
 // Close writes what waits, for a short time at most.
 func (r *ring) Close() error {
 	r.mu.Lock()
