ranks, pool: follow what is liked faster; groups with slow passes get fewer requests

Cause: a change of maps took 0.7 s to be noticed, 0.6 s until the reports of the copies were looked at and ten passes, 0.8 to 2 s when passes are slow, until it took effect, while what is liked changes every 3 to 4 s. Entries filled groups whose passes were slow, so that every stream paused for longer than its caller bears, and in an overload served requests in order of arrival, all of them late. Groups that had broken or stood still got requests that stalled there. Ruled out: a hold with a lead of ten against lagging reports: reports come through the relays and are some milliseconds old. Change: counts are read every 0.3 s and from all ranks at once, reports of a change every 0.1 s, the hold leads by 3 passes, a change that was let go is not taken over by its own keeper. The pool knows groups: broken, at a standstill, and how slow their passes are, by the events of the streams; it gives a group fewer requests when passes exceed the target gap, serves first what can still be on time, and refuses what can no longer be served as soon as that is known. TestOverload, TestSlowPasses, TestGroupRests.

--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -89,6 +89,12 @@
 	Draining      bool
 	Received      time.Time
 	ColdUntil     time.Time
+	// Group is the expert-parallel group whose passes it takes part in, or
+	// empty; Epoch counts how often the group has formed, and Broken says that
+	// it does no work.
+	Group  string
+	Epoch  uint64
+	Broken bool
 }
 
 // Follower keeps the newest view. Use New.
@@ -340,6 +346,7 @@
 			ID: a.Id, BornMS: a.BornMs, Sequence: a.Sequence, Service: a.Service, Address: a.Address, FailureDomain: a.FailureDomain,
 			Slots: int(a.Slots), Draining: a.State != peer.BackendState_BACKEND_STATE_READY,
 			Received: e.Received, ColdUntil: e.ColdUntil,
+			Group: a.GetGroup().GetName(), Epoch: a.GetGroup().GetEpoch(), Broken: a.GetGroup().GetBroken(),
 		})
 	})
 	slices.SortFunc(v.Servers, func(a, b Server) int {
--- a/internal/coordination/gateway/admit.go
+++ b/internal/coordination/gateway/admit.go
@@ -24,6 +24,10 @@
 	// patienceShare bounds the wait to a part of the route's timeout, so that a
 	// refused caller has time to come again.
 	patienceShare = 4
+	// minOnTime is the part of the target latency, as a divisor, in which a
+	// request counts as one that can be served on time, however slow backend
+	// servers are now.
+	minOnTime = 4
 	// noViewRetry is the advice while the entry has no catalog. One comes
 	// within a second of a start.
 	noViewRetry = 500 * time.Millisecond
@@ -160,10 +164,21 @@
 	}
 	return &pool.Request{
 		Service: c.service, Priority: c.priority(), Arrived: c.arrived, Latest: latest,
-		Tried: c.tried, Repeat: c.sends > 0,
+		OnTime: c.onTime(), TargetGap: c.route.TargetGap, Tried: c.tried, Repeat: c.sends > 0,
 	}
 }
 
+// onTime returns when a backend server must begin for the answer to come within
+// the target latency, or zero. A caller that has less time left than the route
+// allows has spent the rest on earlier tries.
+func (c *call) onTime() time.Time {
+	if c.route.TargetLatency == 0 {
+		return time.Time{}
+	}
+	began := c.deadline.Add(-c.route.Timeout)
+	return began.Add(max(c.route.TargetLatency/minOnTime, c.route.TargetLatency-c.gateway.firstAnswer(c.service)))
+}
+
 // mayRepeat says whether the request may run more than once: it is idempotent,
 // or a stream that may be resumed.
 func (c *call) mayRepeat() bool {
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -42,6 +42,7 @@
 	cancel context.CancelCauseFunc
 	begin  time.Time
 	first  time.Duration
+	event  time.Time // of the last event
 	// silence ends the attempt if nothing comes; nil if nothing else could be
 	// done then.
 	silence *time.Timer
@@ -82,9 +83,7 @@
 	if c.stream.begun {
 		return c.gapLimit()
 	}
-	c.gateway.mu.Lock()
-	mean := c.gateway.pool.FirstAnswer(c.service)
-	c.gateway.mu.Unlock()
+	mean := c.gateway.firstAnswer(c.service)
 	return max(time.Duration(silenceFactor*float64(c.route.TargetLatency)), meanFactor*mean)
 }
 
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -239,6 +239,20 @@
 	g.grant()
 }
 
+// event reports an event of a stream.
+func (g *Gateway) event(now time.Time, id string, gap time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pool.Event(now, id, gap)
+}
+
+// firstAnswer is the mean time in which a service first answers now.
+func (g *Gateway) firstAnswer(service string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pool.FirstAnswer(service)
+}
+
 func (g *Gateway) draw() float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -66,9 +66,14 @@
 func (a *attempt) passEvents(res *backend.Response, events []byte) error {
 	c := a.call
 	now := time.Now()
+	gap := time.Duration(0)
 	if a.first == 0 {
 		a.first = now.Sub(a.begin)
+	} else {
+		gap = now.Sub(a.event)
 	}
+	a.event = now
+	c.gateway.event(now, a.to.Server.ID, gap)
 	events, lastID, err := c.stream.unseen(events)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/coordination/pool/group_test.go
@@ -0,0 +1,207 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"oleanderrack.example/oleanderrack/internal/coordination/follower"
+	"oleanderrack.example/oleanderrack/pkg/catalog"
+)
+
+const targetGap = 120 * time.Millisecond
+
+// ranksView has groups of two ranks with twelve slots each.
+func ranksView(groups int, change func(*follower.View)) *follower.View {
+	v := &follower.View{Drained: map[string]bool{}, Entries: 1}
+	v.Index = catalog.NewIndex(catalog.Catalog{Version: 1, Services: []catalog.Service{{
+		Name: "pool", Engine: &catalog.Engine{Slots: 12, StepTime: 6 * time.Millisecond, RequestStepTime: 400 * time.Microsecond, StepsPerPass: 5},
+	}}})
+	for i := range 2 * groups {
+		v.Servers = append(v.Servers, follower.Server{
+			ID: fmt.Sprintf("r%d", i), BornMS: 1, Sequence: 1, Service: "pool", Slots: 12, Received: start,
+			FailureDomain: "fes", Group: fmt.Sprintf("g%d", i/2), Epoch: 1,
+		})
+	}
+	if change != nil {
+		change(v)
+	}
+	return v
+}
+
+func ranksWorld(groups int) *Pool {
+	p := world(Config{}, 0, nil)
+	p.Update(start, ranksView(groups, nil))
+	return p
+}
+
+func stream(now time.Time) *Request {
+	return &Request{Service: "pool", Priority: 1, Arrived: now, OnTime: now.Add(200 * time.Millisecond), Latest: now.Add(800 * time.Millisecond), TargetGap: targetGap}
+}
+
+// assigned asks for n streams and returns how many each backend server got.
+func assigned(p *Pool, now time.Time, n int) map[string]int {
+	got := map[string]int{}
+	for range n {
+		if a, ok := p.Ask(now, stream(now)).(Assign); ok {
+			got[a.Server.ID]++
+		}
+	}
+	return got
+}
+
+// TestSlowPasses guards against a group whose passes are slow being filled until
+// every stream that it carries pauses for longer than its caller bears.
+func TestSlowPasses(t *testing.T) {
+	tests := map[string]struct {
+		factor float64 // of the time that a pass takes by the catalog
+		want   int     // requests at the two ranks
+	}{
+		"as the catalog says": {factor: 1, want: 24},
+		"slightly slow":       {factor: 1.6, want: 24},
+		"too slow":            {factor: 2.4, want: 12},
+		"hopelessly slow":     {factor: 4, want: 12},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := ranksWorld(1)
+			assigned(p, start, 8)
+			p.SetOthers(nil)
+			now := start
+			p.Event(now, "r0", 0)
+			for range 30 {
+				gap := time.Duration(test.factor * float64(passTime(p.services["pool"].spec.Engine, 4)))
+				now = now.Add(gap)
+				p.Event(now, "r0", gap)
+			}
+			assigned(p, now, 40)
+			_, running := p.Counts()
+			if running != test.want {
+				t.Errorf("%d requests run, want %d", running, test.want)
+			}
+		})
+	}
+}
+
+// TestGroupRests guards against requests for a group that does no work, which
+// would stall there, and against refusals and avoided ranks once it works again.
+func TestGroupRests(t *testing.T) {
+	broken := func(epoch uint64, at time.Time) func(*follower.View) {
+		return func(v *follower.View) {
+			v.Servers[1].Epoch, v.Servers[1].Broken, v.Servers[1].Received = epoch, true, at
+		}
+	}
+	later := start.Add(time.Second)
+	tests := map[string]struct {
+		prepare func(*Pool)
+		now     time.Time
+		want    []string // groups that get requests
+	}{
+		"both work":     {now: start, want: []string{"g0", "g1"}},
+		"one is broken": {now: later, want: []string{"g1"}, prepare: func(p *Pool) { p.Update(later, ranksView(2, broken(1, later))) }},
+		"it has formed again": {
+			now: later, want: []string{"g0", "g1"},
+			prepare: func(p *Pool) {
+				p.Update(later, ranksView(2, broken(1, later)))
+				p.Update(later, ranksView(2, func(v *follower.View) { v.Servers[0].Epoch, v.Servers[0].Received = 2, later }))
+			},
+		},
+		"its streams stand still": {
+			now: later, want: []string{"g1"},
+			prepare: func(p *Pool) {
+				p.Event(start, "r0", 0)
+				p.Event(later, "r2", 0)
+			},
+		},
+		"a request got no answer": {
+			now: later, want: []string{"g1"},
+			prepare: func(p *Pool) {
+				p.servers["r0"].inFlight++
+				p.Done(later, "pool", "r0", Silent, 0, 500*time.Millisecond)
+			},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := ranksWorld(2)
+			if test.prepare != nil {
+				test.prepare(p)
+			}
+			groups := map[string]bool{}
+			for id := range assigned(p, test.now, 20) {
+				groups[p.servers[id].info.Group] = true
+			}
+			var got []string
+			for _, g := range []string{"g0", "g1"} {
+				if groups[g] {
+					got = append(got, g)
+				}
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestOverload plays half as many requests again as a service can serve, for ten
+// seconds. It guards against a queue in which every request waits until its
+// answer is late, and against refusals that come after a long wait.
+func TestOverload(t *testing.T) {
+	const (
+		held   = 400 * time.Millisecond
+		tick   = 10 * time.Millisecond
+		length = 10 * time.Second
+	)
+	p := world(Config{}, 1, nil) // four slots: ten requests a second
+	type work struct{ ends time.Time }
+	var running []work
+	onTime, late, refused, heldLong := 0, 0, 0, 0
+	take := func(now time.Time, r *Request, d Decision) {
+		switch d.(type) {
+		case Assign:
+			running = append(running, work{ends: now.Add(held)})
+			if now.After(r.OnTime) {
+				late++
+			} else {
+				onTime++
+			}
+		case Refuse:
+			refused++
+			if now.Sub(r.Arrived) > 300*time.Millisecond {
+				heldLong++
+			}
+		}
+	}
+	asked := 0
+	for at := time.Duration(0); at < length; at += tick {
+		now := start.Add(at)
+		kept := running[:0]
+		for _, w := range running {
+			if w.ends.After(now) {
+				kept = append(kept, w)
+				continue
+			}
+			p.Done(now, "pool", "s0", Answered, 50*time.Millisecond, held)
+		}
+		running = kept
+		for _, g := range p.Next(now) {
+			take(now, g.Request, g.Decision)
+		}
+		if int(at.Seconds()*15) > asked {
+			asked++
+			r := &Request{Service: "pool", Arrived: now, OnTime: now.Add(250 * time.Millisecond), Latest: now.Add(800 * time.Millisecond)}
+			take(now, r, p.Ask(now, r))
+		}
+	}
+	t.Logf("%d asked: %d on time, %d late, %d refused, %d of them after a long wait", asked, onTime, late, refused, heldLong)
+	// Ten a second can be served; nine tenths of them should be on time.
+	if onTime < 90 {
+		t.Errorf("%d of %d were served on time, want 90", onTime, asked)
+	}
+	if heldLong*10 > refused {
+		t.Errorf("%d of %d refusals came after a long wait, want a tenth at most", heldLong, refused)
+	}
+}
--- a/internal/coordination/pool/pool.go
+++ b/internal/coordination/pool/pool.go
@@ -5,13 +5,16 @@
 
 # Concept
 
-The pool answers three loads. In the ordinary one there is room, and a request
+The pool answers four loads. In the ordinary one there is room, and a request
 goes to the backend server that promises the shortest time to its first
-answer. In a burst there is none: requests wait in order of priority and
-arrival, but only if they can still be served in time; the rest is refused at
-once, with the time after which there should be room. When backend servers
-fail, they are avoided for a while, one request at a time tries them again, and
-repeats are held to a share of all requests.
+answer. In a burst there is none: requests wait in order of priority, then
+those that can still be served on time, then the others, each by arrival. What
+would wait for too long is refused at once, with the time after which there
+should be room. When backend servers fail, they are avoided for a while, one
+request at a time tries them again, and repeats are held to a share of all
+requests. When the passes of an expert-parallel group are slow, because its
+experts are uneven or a rank is slow, the group gets fewer requests at a time,
+so that the streams that it carries keep their pace and new ones wait instead.
 
 Backend servers do not know of each other and entries know of one another only
 by counts that are some hundred milliseconds old. Limits that hold for all
@@ -64,14 +67,21 @@
 	Service  string
 	Priority int
 	Arrived  time.Time
-	// Latest is when work must begin for the caller to be served in time.
+	// OnTime is when work must begin for the caller to be served on time; zero if
+	// there is no such time. Those that can be go before those that cannot.
+	OnTime time.Time
+	// Latest is when the request is refused if work has not begun.
 	Latest time.Time
+	// TargetGap is the longest time between two events with which a caller is
+	// well served, or 0.
+	TargetGap time.Duration
 	// Tried holds the ids of backend servers that must not be chosen again.
 	Tried []string
 	// Repeat says that the request was sent before.
 	Repeat bool
 
 	sequence uint64
+	late     bool // OnTime has passed
 }
 
 // Decision is the answer to a request: Assign, Wait or Refuse.
@@ -144,6 +154,7 @@
 	drained  map[string]bool
 	servers  map[string]*server
 	services map[string]*service
+	groups   map[string]*group
 	next     uint64
 }
 
@@ -157,7 +168,7 @@
 func New(cfg Config) *Pool {
 	return &Pool{
 		cfg: cfg, entries: 1, drained: map[string]bool{}, returned: map[string]time.Time{},
-		servers: map[string]*server{}, services: map[string]*service{},
+		servers: map[string]*server{}, services: map[string]*service{}, groups: map[string]*group{},
 	}
 }
 
@@ -184,6 +195,10 @@
 		if info.Sequence > s.info.Sequence {
 			s.misdirected = false
 		}
+		if info.Epoch != s.info.Epoch {
+			// What failed with the last epoch says nothing of this one.
+			s.misses, s.avoidUntil, s.failures = 0, time.Time{}, 0
+		}
 		s.info = info
 		svc := p.service(info.Service)
 		svc.servers = append(svc.servers, s)
@@ -196,6 +211,7 @@
 	for name, s := range p.services {
 		s.setSpec(v.Index.Service(name))
 	}
+	p.updateGroups()
 }
 
 // SetOthers takes the requests that other entries have in flight.
@@ -203,6 +219,7 @@
 	for id, s := range p.servers {
 		s.others = int(loads[id])
 	}
+	p.modelPasses()
 }
 
 // InFlight returns this entry's requests by backend server.
@@ -221,7 +238,11 @@
 func (p *Pool) Ask(now time.Time, r *Request) Decision {
 	svc := p.service(r.Service)
 	if r.Repeat && !svc.mayRepeat(now, p.cfg, p.entries) {
-		return svc.refuse(fault.RetryBudgetSpent, RetryBudget, 0)
+		return svc.refuse(now, r, fault.RetryBudgetSpent, RetryBudget, 0, p.entries)
+	}
+	r.note(now)
+	if !r.late {
+		svc.asked.add(now)
 	}
 	ahead := svc.ahead(r)
 	if ahead == 0 {
@@ -233,9 +254,9 @@
 			return c
 		}
 	}
-	expected := svc.expectedWait(ahead)
+	expected := svc.expectedWait(now, r, ahead, p.entries)
 	if !now.Add(expected).Before(r.Latest) {
-		return svc.refuse(fault.Overloaded, QueueTooLong, expected)
+		return svc.refuse(now, r, fault.Overloaded, QueueTooLong, expected, p.entries)
 	}
 	p.next++
 	r.sequence = p.next
@@ -257,11 +278,12 @@
 }
 
 func (p *Pool) nextOf(now time.Time, svc *service, grants []Grant) []Grant {
+	turned := svc.order(now)
 	kept := svc.queue[:0]
 	full := false
-	for _, r := range svc.queue {
-		if !now.Before(r.Latest) {
-			grants = append(grants, Grant{Request: r, Decision: svc.refuse(fault.Overloaded, WaitedOut, now.Sub(r.Arrived))})
+	for i, r := range svc.queue {
+		if refusal, ok := p.hopeless(now, svc, r, i, turned); ok {
+			grants = append(grants, Grant{Request: r, Decision: refusal})
 			continue
 		}
 		if !full {
@@ -283,6 +305,22 @@
 	return grants
 }
 
+// hopeless refuses a request that has waited out its time, and, in the moment in
+// which it can no longer be served on time, one that will.
+func (p *Pool) hopeless(now time.Time, svc *service, r *Request, ahead int, turned map[*Request]bool) (Refuse, bool) {
+	if !now.Before(r.Latest) {
+		return svc.refuse(now, r, fault.Overloaded, WaitedOut, now.Sub(r.Arrived), p.entries), true
+	}
+	if !turned[r] {
+		return Refuse{}, false
+	}
+	expected := svc.expectedWait(now, r, ahead, p.entries)
+	if now.Add(expected).Before(r.Latest) {
+		return Refuse{}, false
+	}
+	return svc.refuse(now, r, fault.Overloaded, QueueTooLong, expected, p.entries), true
+}
+
 func (p *Pool) assign(now time.Time, svc *service, r *Request, a Assign) {
 	s := p.servers[a.Server.ID]
 	s.inFlight++
@@ -301,9 +339,24 @@
 	}
 	s.inFlight--
 	s.observe(now, result, first)
+	if g := p.groups[s.info.Group]; g != nil {
+		g.end(now, result, held, first > 0)
+	}
 	p.service(serviceName).observe(result, first, held)
 }
 
+// Event notes that an event of a stream came from a backend server, and the
+// time since the one before it, or 0 for the first.
+func (p *Pool) Event(now time.Time, id string, gap time.Duration) {
+	s := p.servers[id]
+	if s == nil {
+		return
+	}
+	if g := p.groups[s.info.Group]; g != nil {
+		g.event(now, gap)
+	}
+}
+
 // FirstAnswer is the mean time in which a service first answers now, counted
 // from the sending.
 func (p *Pool) FirstAnswer(serviceName string) time.Duration { return p.service(serviceName).first }
--- a/internal/coordination/pool/server.go
+++ b/internal/coordination/pool/server.go
@@ -145,12 +145,20 @@
 		}
 		running := s.inFlight + s.others
 		slots := s.slots(svc)
+		g := p.groups[s.info.Group]
+		if g != nil {
+			if g.rests(now, r.TargetGap) {
+				full = true
+				continue
+			}
+			slots = g.limit(now, svc.spec.Engine, slots, r.TargetGap)
+		}
 		cold := svc.spec.ColdPerSecond > 0 && s.isCold(now, p.returned[s.info.FailureDomain])
 		if running >= slots || (cold && !s.mayTakeCold(now, p.coldLimit(svc.spec.ColdPerSecond))) {
 			full = true
 			continue
 		}
-		cost := p.cost(now, svc, s, running, slots, cold)
+		cost := p.cost(now, svc, s, g, running, slots, cold)
 		if cost < bestCost {
 			bestCost = cost
 			best = Assign{Server: s.info, Running: running, Others: s.others, Cold: cold, Cost: time.Duration(cost)}
@@ -180,9 +188,14 @@
 
 // cost is the expected time to the first answer, with what else speaks against
 // a backend server as factors.
-func (p *Pool) cost(now time.Time, svc *service, s *server, running, slots int, cold bool) float64 {
+func (p *Pool) cost(now time.Time, svc *service, s *server, g *group, running, slots int, cold bool) float64 {
 	mean := max(svc.first, time.Millisecond)
-	cost := float64(s.speed(now, mean)) * (1 + 2*float64(running)/float64(slots))
+	speed := float64(s.speed(now, mean))
+	if g != nil {
+		// The ranks of a group have the same pace.
+		speed = float64(mean) * g.slow(now)
+	}
+	cost := speed * (1 + 2*float64(running)/float64(slots))
 	cost *= 1 + failureCost*s.failureShare(now)
 	if s.info.FailureDomain != p.cfg.FailureDomain {
 		cost *= foreignCost
--- a/internal/coordination/pool/service.go
+++ b/internal/coordination/pool/service.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -17,6 +18,11 @@
 	budgetMargin = 0.8
 	// maxQueue bounds the requests that wait for one service.
 	maxQueue = 4096
+	// askedWindow is the span over which the rate of new requests is taken.
+	askedWindow = time.Second
+	// unservable is the expected wait of a request that others will always go
+	// before.
+	unservable = time.Hour
 	// minRetryAfter and maxRetryAfter bound the advice to refused callers.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
@@ -29,6 +35,7 @@
 	queue   []*Request // by priority, then arrival
 	first   time.Duration
 	held    time.Duration
+	asked   window // requests that could be served on time
 	firsts  window
 	repeats window
 }
@@ -55,26 +62,54 @@
 	return mean + time.Duration(meanWeight*float64(value-mean))
 }
 
-// enqueue keeps the queue in order of priority and arrival.
 func (s *service) enqueue(r *Request) {
 	at, _ := slices.BinarySearchFunc(s.queue, r, compare)
 	s.queue = slices.Insert(s.queue, at, r)
 }
 
-func compare(a, b *Request) int {
-	if a.Priority != b.Priority {
-		return a.Priority - b.Priority
+// order sorts the queue anew if requests can no longer be served on time, and
+// returns these.
+func (s *service) order(now time.Time) map[*Request]bool {
+	var turned map[*Request]bool
+	for _, r := range s.queue {
+		if r.note(now) {
+			if turned == nil {
+				turned = map[*Request]bool{}
+			}
+			turned[r] = true
+		}
 	}
-	if c := a.Arrived.Compare(b.Arrived); c != 0 {
-		return c
+	if turned != nil {
+		slices.SortFunc(s.queue, compare)
+	}
+	return turned
+}
+
+// note notes whether the request can still be served on time, and says whether
+// that has just ended.
+func (r *Request) note(now time.Time) bool {
+	if r.late || r.OnTime.IsZero() || now.Before(r.OnTime) {
+		return false
 	}
+	r.late = true
+	return true
+}
+
+// compare orders requests: by priority, then those that can be served on time,
+// then by arrival.
+func compare(a, b *Request) int {
 	switch {
-	case a.sequence < b.sequence:
+	case a.Priority != b.Priority:
+		return a.Priority - b.Priority
+	case a.late != b.late && b.late:
 		return -1
-	case a.sequence > b.sequence:
+	case a.late != b.late:
 		return 1
 	}
-	return 0
+	if c := a.Arrived.Compare(b.Arrived); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.sequence, b.sequence)
 }
 
 func (s *service) remove(r *Request) {
@@ -83,52 +118,68 @@
 	}
 }
 
-// ahead returns the number of waiting requests that go before r.
+// ahead returns the number of waiting requests that go before r, which has just
+// come.
 func (s *service) ahead(r *Request) int {
 	n := 0
 	for _, w := range s.queue {
-		if w.Priority <= r.Priority {
+		if w.Priority < r.Priority || (w.Priority == r.Priority && (r.late || !w.late)) {
 			n++
 		}
 	}
 	return n
 }
 
-// expectedWait is the time until as many requests have ended as are ahead, at
-// the pace of this entry's own.
-func (s *service) expectedWait(ahead int) time.Duration {
+// expectedWait is the time until as many requests have ended as go before r, at
+// the pace of this entry's own requests or of its even part of all, whichever is
+// more: entries that send little do not know the pace from their own. One that
+// cannot be served on time also waits for those to come that can.
+func (s *service) expectedWait(now time.Time, r *Request, ahead, entries int) time.Duration {
 	if len(s.queue) >= maxQueue {
-		return time.Hour
+		return unservable
 	}
-	running := s.running()
+	own, all := s.running()
+	running := max(float64(own), float64(all)/float64(entries))
 	if running == 0 || s.held == 0 {
 		return 0
 	}
-	return time.Duration(float64(s.held) * float64(ahead+1) / float64(running))
+	pace := running / s.held.Seconds()
+	wait := seconds(float64(ahead+1) / pace)
+	if r.OnTime.IsZero() || (!r.late && now.Add(wait).Before(r.OnTime)) {
+		return wait
+	}
+	pace -= float64(s.asked.sum(now, askedWindow)) / askedWindow.Seconds()
+	if pace <= 0 {
+		return unservable
+	}
+	return seconds(float64(ahead+1) / pace)
 }
 
-// running is the number of this entry's requests at backend servers.
-func (s *service) running() int {
-	n := 0
+func seconds(s float64) time.Duration {
+	return time.Duration(min(s*float64(time.Second), float64(unservable)))
+}
+
+// running returns the number of this entry's requests at backend servers, and
+// that of all entries.
+func (s *service) running() (own, all int) {
 	for _, srv := range s.servers {
-		n += srv.inFlight
+		own += srv.inFlight
+		all += srv.inFlight + srv.others
 	}
-	return n
+	return own, all
 }
 
 // refuse returns a refusal with the figures that led to it.
-func (s *service) refuse(kind fault.Kind, reason Reason, expected time.Duration) Refuse {
+func (s *service) refuse(now time.Time, r *Request, kind fault.Kind, reason Reason, expected time.Duration, entries int) Refuse {
+	own, _ := s.running()
+	// When the queue of now should be served.
+	room := s.expectedWait(now, r, len(s.queue), entries)
 	return Refuse{
-		Kind: kind, Reason: reason, RetryAfter: s.retryAfter(),
-		Waiting: len(s.queue), Running: s.running(), Expected: expected,
+		Kind: kind, Reason: reason, RetryAfter: min(maxRetryAfter, max(minRetryAfter, room)),
+		Waiting: len(s.queue), Running: own, Expected: expected,
 	}
 }
 
-// retryAfter is when the queue of now should be served.
-func (s *service) retryAfter() time.Duration {
-	return min(maxRetryAfter, max(minRetryAfter, s.expectedWait(len(s.queue))))
-}
-
 func (s *service) count(now time.Time, repeat bool) {
 	if repeat {
 		s.repeats.add(now)
--- a/internal/coordination/ranks/change.go
+++ b/internal/coordination/ranks/change.go
@@ -6,11 +6,13 @@
 
 const (
 	// lead is the number of passes between the newest one known and the one
-	// that a change holds. Reports are some 200 ms old and a pass takes 25 ms
-	// or more, so the order arrives before that pass begins.
-	lead = 10
-	// leadStep is added each time a hold was refused because its pass had begun.
-	leadStep = 6
+	// that a change holds. A pass takes 25 ms or more; the probe, the hold and
+	// the arms take about 10 ms each, so that the group rarely has to wait. While
+	// it lasts, passes are as slow as before the change.
+	lead = 3
+	// leadStep is added each time a hold was refused because its pass had begun,
+	// as with reports from afar, which are 200 ms old.
+	leadStep = 4
 	// copyTimeout is the time after which a copy that was ordered is ordered
 	// again. A rank copies for up to two seconds.
 	copyTimeout = 4 * time.Second
--- a/internal/coordination/ranks/keeper.go
+++ b/internal/coordination/ranks/keeper.go
@@ -15,17 +15,18 @@
 // Times of the keeper.
 const (
 	// planInterval is the time between two looks at the experts chosen. What is
-	// liked changes every few seconds, and a change takes about one.
-	planInterval = 700 * time.Millisecond
+	// liked changes every few seconds, and until the map follows all passes take
+	// up to twice as long.
+	planInterval = 300 * time.Millisecond
 	// stepInterval is the time between two tries of orders while a group may be
 	// held.
 	stepInterval = 20 * time.Millisecond
 	// reportInterval is the time between two looks at the reports during a
-	// change. Ranks copy experts for about a second.
-	reportInterval = 600 * time.Millisecond
+	// change. A rank copies an expert in about 50 ms.
+	reportInterval = 100 * time.Millisecond
 	// settleTime is how long the reports of a group may not show a change, also
-	// one by the keeper that led before.
-	settleTime = time.Second
+	// one by the keeper that led before: reports from afar are 200 ms old.
+	settleTime = 400 * time.Millisecond
 	// callTimeout bounds a question to a rank, and orderTimeout an order, which
 	// takes a few milliseconds.
 	callTimeout  = 250 * time.Millisecond
@@ -73,6 +74,12 @@
 	content Map
 }
 
+// knownSets are the experts that one rank carries, by set.
+type knownSets struct {
+	version uint64
+	sets    [][]int
+}
+
 // change is a change that is open.
 type change struct {
 	*Change
@@ -137,19 +144,10 @@
 func (k *Keeper) look(ctx context.Context, groups []Group) {
 	read := map[string]map[string]Counts{}
 	for _, g := range groups {
-		for _, r := range g.Ranks[:min(sampledRanks, len(g.Ranks))] {
-			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-			counts, err := k.cfg.Engines.Counts(callCtx, r)
-			cancel()
-			if err != nil {
-				k.log.Debug("counts were not read", "backend_server", r.ID, "error", err)
-				continue
-			}
-			if read[g.Service] == nil {
-				read[g.Service] = map[string]Counts{}
-			}
-			read[g.Service][r.ID] = counts
+		if read[g.Service] == nil {
+			read[g.Service] = map[string]Counts{}
 		}
+		k.lookAt(ctx, g.Ranks[:min(sampledRanks, len(g.Ranks))], read[g.Service])
 	}
 	for service, counts := range read {
 		spec, ok := k.cfg.Spec(service)
@@ -163,6 +161,20 @@
 	}
 }
 
+// lookAt adds the counts of some ranks.
+func (k *Keeper) lookAt(ctx context.Context, ranks []Rank, read map[string]Counts) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	counts, errs := each(ranks, func(r Rank) (Counts, error) { return k.cfg.Engines.Counts(ctx, r) })
+	for i, r := range ranks {
+		if errs[i] != nil {
+			k.log.Debug("counts were not read", "backend_server", r.ID, "error", errs[i])
+			continue
+		}
+		read[r.ID] = counts[i]
+	}
+}
+
 // planAll begins changes where one is worth it, and takes over those that
 // another keeper has left.
 func (k *Keeper) planAll(ctx context.Context, term uint64, groups []Group) {
@@ -201,6 +213,10 @@
 // It says whether there was anything.
 func (k *Keeper) takeOver(ctx context.Context, g Group, reports []Report) bool {
 	if version := Unfinished(reports); version > 0 {
+		if known := k.maps[g.Name]; known.epoch == g.Epoch && known.version == version {
+			// The group was let go and has not reached the pass yet.
+			return true
+		}
 		k.log.Warn("map change taken over", "group", g.Name, "epoch", g.Epoch, "version", version)
 		k.open(g, Target{Version: version}, reports)
 		return true
@@ -227,17 +243,20 @@
 	if known.content != nil && known.epoch == g.Epoch && known.version == reports[0].Map {
 		return true
 	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	carried, errs := each(g.Ranks, func(r Rank) (knownSets, error) {
+		version, sets, err := k.cfg.Engines.Experts(ctx, r)
+		return knownSets{version: version, sets: sets}, err
+	})
 	content := make(Map, spec.Sets)
-	for _, r := range g.Ranks {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		version, sets, err := k.cfg.Engines.Experts(callCtx, r)
-		cancel()
-		if err != nil || version != reports[0].Map || len(sets) != spec.Sets {
-			k.log.Debug("map was not read", "group", g.Name, "backend_server", r.ID, "version", version, "sets", len(sets), "error", err)
+	for i, c := range carried {
+		if errs[i] != nil || c.version != reports[0].Map || len(c.sets) != spec.Sets {
+			k.log.Debug("map was not read", "group", g.Name, "backend_server", g.Ranks[i].ID, "version", c.version, "sets", len(c.sets), "error", errs[i])
 			return false
 		}
-		for set := range sets {
-			content[set] = append(content[set], sets[set])
+		for set := range c.sets {
+			content[set] = append(content[set], c.sets[set])
 		}
 	}
 	k.maps[g.Name] = knownMap{epoch: g.Epoch, version: reports[0].Map, content: content}
@@ -248,12 +267,7 @@
 func (k *Keeper) reports(ctx context.Context, g Group) ([]Report, bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reports, errs := make([]Report, len(g.Ranks)), make([]error, len(g.Ranks))
-	var group sync.WaitGroup
-	for i, r := range g.Ranks {
-		group.Go(func() { reports[i], errs[i] = k.cfg.Engines.Report(ctx, r) })
-	}
-	group.Wait()
+	reports, errs := each(g.Ranks, func(r Rank) (Report, error) { return k.cfg.Engines.Report(ctx, r) })
 	if i := slices.IndexFunc(errs, func(err error) bool { return err != nil }); i >= 0 {
 		k.log.Debug("report was not read", "group", g.Name, "backend_server", g.Ranks[i].ID, "error", errs[i])
 		return nil, false
@@ -261,6 +275,17 @@
 	return reports, true
 }
 
+// each asks all ranks at once.
+func each[T any](ranks []Rank, ask func(Rank) (T, error)) ([]T, []error) {
+	answers, errs := make([]T, len(ranks)), make([]error, len(ranks))
+	var group sync.WaitGroup
+	for i, r := range ranks {
+		group.Go(func() { answers[i], errs[i] = ask(r) })
+	}
+	group.Wait()
+	return answers, errs
+}
+
 // open begins a change by what the ranks have just reported.
 func (k *Keeper) open(g Group, target Target, reports []Report) {
 	c := &change{Change: NewChange(g.Epoch, target, len(g.Ranks)), began: time.Now(), asked: time.Now()}
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -209,7 +209,8 @@
 		}
 		changed = true
 		r.log.Info("backend server changed", "backend_server", a.Id, "service", a.Service, "address", a.Address,
-			"state", stateName(a.State), "cold_ms", a.ColdMs, "born_ms", a.BornMs, "sequence", a.Sequence, "age_ms", a.AgeMs, "source", source)
+			"state", stateName(a.State), "cold_ms", a.ColdMs, "born_ms", a.BornMs, "sequence", a.Sequence, "age_ms", a.AgeMs, "source", source,
+			"group", a.GetGroup().GetName(), "epoch", a.GetGroup().GetEpoch(), "broken", a.GetGroup().GetBroken())
 	}
 	if changed {
 		r.alert()
