pool, gateway: load told by backend servers, even parts at a start, groups that have just formed

Cause: after a restart of all entries each one filled every backend server as if it were alone: requests stood for two seconds in the backend servers' queues, were cut off as silent and sent elsewhere, and all ranks of a group counted as unreachable. What entries know of each other is up to 0.8 s old; what backend servers say of their load was not read. The mean time to a first answer came with the end of the stream, seconds late. Change: an entry that does not know what others have in flight takes its even part; the load header goes before the other entries' counts for 0.3 s; a group that has just formed is assumed slow; silence of a whole group is not held against its ranks; the log tells the longest gap of a stream.

--- a/internal/coordination/gateway/admit.go
+++ b/internal/coordination/gateway/admit.go
@@ -169,14 +169,12 @@
 }
 
 // onTime returns when a backend server must begin for the answer to come within
-// the target latency, or zero. A caller that has less time left than the route
-// allows has spent the rest on earlier tries.
+// the target latency, or zero.
 func (c *call) onTime() time.Time {
 	if c.route.TargetLatency == 0 {
 		return time.Time{}
 	}
-	began := c.deadline.Add(-c.route.Timeout)
-	return began.Add(max(c.route.TargetLatency/minOnTime, c.route.TargetLatency-c.gateway.firstAnswer(c.service)))
+	return c.arrived.Add(max(c.route.TargetLatency/minOnTime, c.route.TargetLatency-c.gateway.firstAnswer(c.service)))
 }
 
 // mayRepeat says whether the request may run more than once: it is idempotent,
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -170,6 +171,9 @@
 	if cold, err := strconv.Atoi(res.Header.Get(dialect.Cold)); err == nil {
 		c.gateway.toldCold(a.to.Server.ID, time.Duration(cold)*time.Millisecond)
 	}
+	if requests, ok := toldLoad(res.Header.Get(dialect.Load)); ok {
+		c.gateway.toldLoad(a.to.Server.ID, requests)
+	}
 	switch {
 	case res.Status == http.StatusMisdirectedRequest:
 		c.gateway.misdirected(a.to.Server.ID)
@@ -200,9 +204,9 @@
 	if len(body) == maxBuffered {
 		return a.passLong(res, body)
 	}
-	a.first = time.Since(a.begin)
 	got := &answer{status: res.Status, header: res.Header, body: body}
 	if res.Status < 500 {
+		a.answeredFirst()
 		a.end(pool.Answered, strconv.Itoa(res.Status))
 		return c.deliver(got)
 	}
@@ -211,6 +215,13 @@
 	return a.next(true, fault.New(fault.BackendFailed, "backend server %s answered %d", a.to.Server.ID, res.Status))
 }
 
+// answeredFirst reports the begin of an answer that is not a stream of events.
+func (a *attempt) answeredFirst() {
+	now := time.Now()
+	a.first = now.Sub(a.begin)
+	a.call.gateway.event(now, a.to.Server.ID, a.first, 0)
+}
+
 // cutOff ends an attempt whose answer ended early.
 func (a *attempt) cutOff(err error) outcome {
 	c := a.call
@@ -237,7 +248,7 @@
 		c.writer.Header().Set("Content-Length", strconv.FormatInt(res.ContentLength, 10))
 	}
 	c.writer.WriteHeader(res.Status)
-	a.first = time.Since(a.begin)
+	a.answeredFirst()
 	_, err := c.writer.Write(begin)
 	if err == nil {
 		_, err = io.Copy(c.writer, res.Body)
@@ -278,6 +289,29 @@
 	g.pool.Misdirected(id)
 }
 
+// toldLoad reads how many requests a backend server says that it holds: those
+// that run and those that wait come before its slots.
+func toldLoad(value string) (requests int, ok bool) {
+	parts := strings.Split(value, ",")
+	if len(parts) < 2 {
+		return 0, false
+	}
+	for _, part := range parts[:2] {
+		n, err := strconv.Atoi(strings.TrimSpace(part))
+		if err != nil || n < 0 {
+			return 0, false
+		}
+		requests += n
+	}
+	return requests, true
+}
+
+func (g *Gateway) toldLoad(id string, requests int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pool.ToldLoad(time.Now(), id, requests)
+}
+
 func (g *Gateway) toldCold(id string, rest time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/coordination/gateway/call.go
+++ b/internal/coordination/gateway/call.go
@@ -176,6 +176,9 @@
 		if c.account != nil {
 			list = append(list, "client_account", c.account.Name)
 		}
+		if c.stream.begun {
+			list = append(list, "longest_gap_ms", c.stream.longestGap.Milliseconds())
+		}
 		return append(list, more...)
 	}
 	log := c.gateway.log
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -135,7 +135,7 @@
 func (g *Gateway) SetOthers(loads map[string]uint32) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.pool.SetOthers(loads)
+	g.pool.SetOthers(time.Now(), loads)
 }
 
 // Loads returns this entry's requests in flight by backend server.
@@ -240,10 +240,10 @@
 }
 
 // event reports an event of a stream.
-func (g *Gateway) event(now time.Time, id string, gap time.Duration) {
+func (g *Gateway) event(now time.Time, id string, first, gap time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.pool.Event(now, id, gap)
+	g.pool.Event(now, id, first, gap)
 }
 
 // firstAnswer is the mean time in which a service first answers now.
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -27,6 +27,8 @@
 	begun bool
 	// lastID is the id of the last event written.
 	lastID string
+	// longestGap is the longest time between two events of one attempt.
+	longestGap time.Duration
 }
 
 // passStream passes on a stream of events, whole events only, so that it can
@@ -73,7 +75,8 @@
 		gap = now.Sub(a.event)
 	}
 	a.event = now
-	c.gateway.event(now, a.to.Server.ID, gap)
+	c.stream.longestGap = max(c.stream.longestGap, gap)
+	c.gateway.event(now, a.to.Server.ID, a.first, gap)
 	events, lastID, err := c.stream.unseen(events)
 	if err != nil {
 		return err
--- a/internal/coordination/pool/group.go
+++ b/internal/coordination/pool/group.go
@@ -15,6 +15,12 @@
 	// maxSlowness bounds what one pass says of the next ones: a group that is
 	// held for a moment is not slow.
 	maxSlowness = 5.0
+	// newSlowness is assumed of a group that has just formed: it begins with a
+	// map that knows nothing of what is liked, whose busiest rank has two to
+	// three times the mean, and with all that waited meanwhile.
+	newSlowness = 2.5
+	// newFor is how long that is assumed unless passes show otherwise.
+	newFor = 2 * time.Second
 	// slownessFade is the time in which what is known of a group's passes loses
 	// its weight once no events come.
 	slownessFade = 2 * time.Second
@@ -46,6 +52,7 @@
 	moved    time.Time // of the last event
 	streams  int       // of this entry, with an event
 	silent   time.Time // when a request got no answer and nothing moved
+	formed   time.Time // when its epoch was announced
 }
 
 // updateGroups takes the newest that any rank has announced of its group.
@@ -58,7 +65,7 @@
 		}
 		g := p.groups[name]
 		if g == nil || s.info.Epoch > g.epoch {
-			g = &group{epoch: s.info.Epoch}
+			g = &group{epoch: s.info.Epoch, formed: s.info.Received}
 			p.groups[name] = g
 			delete(newest, name)
 		}
@@ -90,14 +97,17 @@
 	g.slowness += passWeight * (seen - g.slowness)
 }
 
-// end notes the end of a request.
-func (g *group) end(now time.Time, result Result, held time.Duration, begun bool) {
+// end notes the end of a request. It says whether the request got no answer
+// because the whole group gave none.
+func (g *group) end(now time.Time, result Result, held time.Duration, begun bool) bool {
 	if begun {
 		g.streams = max(0, g.streams-1)
 	}
-	if (result == Silent || result == Unreached) && g.moved.Before(now.Add(-held)) {
-		g.silent = now
+	if result != Silent || g.moved.After(now.Add(-held)) {
+		return false
 	}
+	g.silent = now
+	return true
 }
 
 // rests says that the group does no work now.
@@ -111,6 +121,9 @@
 // slow returns how much longer passes take than by the catalog.
 func (g *group) slow(now time.Time) float64 {
 	if g.slowness == 0 {
+		if now.Sub(g.formed) < newFor {
+			return newSlowness
+		}
 		return 1
 	}
 	weight := math.Exp(-now.Sub(g.moved).Seconds() / slownessFade.Seconds())
--- a/internal/coordination/pool/group_test.go
+++ b/internal/coordination/pool/group_test.go
@@ -68,13 +68,13 @@
 		t.Run(name, func(t *testing.T) {
 			p := ranksWorld(1)
 			assigned(p, start, 8)
-			p.SetOthers(nil)
 			now := start
-			p.Event(now, "r0", 0)
+			p.SetOthers(now, map[string]uint32{})
+			p.Event(now, "r0", 0, 0)
 			for range 30 {
 				gap := time.Duration(test.factor * float64(passTime(p.services["pool"].spec.Engine, 4)))
 				now = now.Add(gap)
-				p.Event(now, "r0", gap)
+				p.Event(now, "r0", 0, gap)
 			}
 			assigned(p, now, 40)
 			_, running := p.Counts()
@@ -111,8 +111,8 @@
 		"its streams stand still": {
 			now: later, want: []string{"g1"},
 			prepare: func(p *Pool) {
-				p.Event(start, "r0", 0)
-				p.Event(later, "r2", 0)
+				p.Event(start, "r0", 0, 0)
+				p.Event(later, "r2", 0, 0)
 			},
 		},
 		"a request got no answer": {
--- a/internal/coordination/pool/pool.go
+++ b/internal/coordination/pool/pool.go
@@ -156,6 +156,8 @@
 	services map[string]*service
 	groups   map[string]*group
 	next     uint64
+	// othersKnown says that other entries have told what they have in flight.
+	othersKnown bool
 }
 
 // Grant is a request whose wait is over.
@@ -214,14 +216,26 @@
 	p.updateGroups()
 }
 
-// SetOthers takes the requests that other entries have in flight.
-func (p *Pool) SetOthers(loads map[string]uint32) {
+// SetOthers takes the requests that other entries have in flight, or nil if that
+// is not known.
+func (p *Pool) SetOthers(now time.Time, loads map[string]uint32) {
+	p.othersKnown = loads != nil
 	for id, s := range p.servers {
-		s.others = int(loads[id])
+		if now.Sub(s.toldLoad) >= toldLoadAge {
+			s.others = int(loads[id])
+		}
 	}
 	p.modelPasses()
 }
 
+// ToldLoad takes the number of requests that a backend server says it holds,
+// which is newer than what entries know of each other.
+func (p *Pool) ToldLoad(now time.Time, id string, requests int) {
+	if s := p.servers[id]; s != nil {
+		s.others, s.toldLoad = max(0, requests-s.inFlight), now
+	}
+}
+
 // InFlight returns this entry's requests by backend server.
 func (p *Pool) InFlight() map[string]int {
 	loads := make(map[string]int, len(p.servers))
@@ -338,20 +352,27 @@
 		return
 	}
 	s.inFlight--
-	s.observe(now, result, first)
-	if g := p.groups[s.info.Group]; g != nil {
-		g.end(now, result, held, first > 0)
+	g := p.groups[s.info.Group]
+	if g != nil && g.end(now, result, held, first > 0) {
+		// The rank is no worse than its group.
+		result = Abandoned
 	}
-	p.service(serviceName).observe(result, first, held)
+	s.observe(now, result, first)
+	p.service(serviceName).observe(result, held)
 }
 
-// Event notes that an event of a stream came from a backend server, and the
-// time since the one before it, or 0 for the first.
-func (p *Pool) Event(now time.Time, id string, gap time.Duration) {
+// Event notes that an event of a stream came from a backend server: the time
+// since the one before it, or 0 for the first, which came first after the
+// sending.
+func (p *Pool) Event(now time.Time, id string, first, gap time.Duration) {
 	s := p.servers[id]
 	if s == nil {
 		return
 	}
+	if gap == 0 {
+		svc := p.service(s.info.Service)
+		svc.first = average(svc.first, first)
+	}
 	if g := p.groups[s.info.Group]; g != nil {
 		g.event(now, gap)
 	}
--- a/internal/coordination/pool/pool_test.go
+++ b/internal/coordination/pool/pool_test.go
@@ -88,11 +88,11 @@
 		},
 		"full by others": {
 			servers: 1, request: request(1, start, time.Second), want: "wait",
-			prepare: func(p *Pool) { p.SetOthers(map[string]uint32{"s0": 4}) },
+			prepare: func(p *Pool) { p.SetOthers(start, map[string]uint32{"s0": 4}) },
 		},
 		"too late to wait": {
 			servers: 1, request: request(1, start, 0), want: "refuse queue_too_long",
-			prepare: func(p *Pool) { p.SetOthers(map[string]uint32{"s0": 4}) },
+			prepare: func(p *Pool) { p.SetOthers(start, map[string]uint32{"s0": 4}) },
 		},
 	}
 	for name, test := range tests {
--- a/internal/coordination/pool/server.go
+++ b/internal/coordination/pool/server.go
@@ -43,6 +43,9 @@
 	// are counted, and coldMargin the part of its limit that is used.
 	coldWindow = time.Second
 	coldMargin = 0.8
+	// toldLoadAge is how long what a backend server says of its load goes before
+	// what other entries say, which is up to 0.8 s old.
+	toldLoadAge = 300 * time.Millisecond
 )
 
 // server is one backend server.
@@ -59,6 +62,7 @@
 	misdirected bool
 	toldCold    time.Time
 	coldSends   []time.Time
+	toldLoad    time.Time // when it told others
 }
 
 // observe notes how a request ended.
@@ -153,6 +157,10 @@
 			}
 			slots = g.limit(now, svc.spec.Engine, slots, r.TargetGap)
 		}
+		if !p.othersKnown {
+			// Others may take their even part too.
+			slots = (slots + p.entries - 1) / p.entries
+		}
 		cold := svc.spec.ColdPerSecond > 0 && s.isCold(now, p.returned[s.info.FailureDomain])
 		if running >= slots || (cold && !s.mayTakeCold(now, p.coldLimit(svc.spec.ColdPerSecond))) {
 			full = true
--- a/internal/coordination/pool/service.go
+++ b/internal/coordination/pool/service.go
@@ -46,12 +46,12 @@
 	}
 }
 
-// observe updates the means with a request that was answered.
-func (s *service) observe(result Result, first, held time.Duration) {
+// observe updates the mean time that requests are held with one that was
+// answered.
+func (s *service) observe(result Result, held time.Duration) {
 	if result != Answered {
 		return
 	}
-	s.first = average(s.first, first)
 	s.held = average(s.held, held)
 }
 
@@ -140,10 +140,11 @@
 	}
 	own, all := s.running()
 	running := max(float64(own), float64(all)/float64(entries))
-	if running == 0 || s.held == 0 {
+	held := s.usualHeld()
+	if running == 0 || held == 0 {
 		return 0
 	}
-	pace := running / s.held.Seconds()
+	pace := running / held.Seconds()
 	wait := seconds(float64(ahead+1) / pace)
 	if r.OnTime.IsZero() || (!r.late && now.Add(wait).Before(r.OnTime)) {
 		return wait
@@ -155,6 +156,16 @@
 	return seconds(float64(ahead+1) / pace)
 }
 
+// usualHeld is how long a backend server holds a request: the mean of those that
+// have ended, or by the catalog as long as there is none.
+func (s *service) usualHeld() time.Duration {
+	e := s.spec.Engine
+	if s.held > 0 || e == nil || e.StepsPerPass == 0 {
+		return s.held
+	}
+	return time.Duration(e.UsualAnswerTokens/e.StepsPerPass) * passTime(e, e.Slots)
+}
+
 func seconds(s float64) time.Duration {
 	return time.Duration(min(s*float64(time.Second), float64(unservable)))
 }
