pool: entries take only their part of the places that are free

Cause: in an overload every entry filled each place that was free by counts 0.4 s old; two thirds of the requests then queued at a backend server. Ruled out: the counts' way: they are 0 to 0.4 s old, as designed. Change: where half the slots or more are taken, an entry may add half its even part of the free places until the next exchange; its own places that become free stay its own. Conclusion: requests wait at entries, which can refuse them, and no longer at backend servers; recovery is to be looked at again.

--- a/internal/coordination/pool/pool.go
+++ b/internal/coordination/pool/pool.go
@@ -158,6 +158,7 @@
 	next     uint64
 	// othersKnown says that other entries have told what they have in flight.
 	othersKnown bool
+	allowedAt   time.Time // when allowances were set
 }
 
 // Grant is a request whose wait is over.
@@ -225,6 +226,14 @@
 			s.others = int(loads[id])
 		}
 	}
+	if now.Sub(p.allowedAt) >= exchangeInterval {
+		p.allowedAt = now
+		for _, svc := range p.services {
+			for _, s := range svc.servers {
+				s.allow(s.slots(svc), p.entries, p.cfg.Random)
+			}
+		}
+	}
 	p.modelPasses()
 }
 
--- a/internal/coordination/pool/server.go
+++ b/internal/coordination/pool/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -33,6 +34,17 @@
 	// similar is the factor of the least cost up to which backend servers are
 	// drawn from: what is known of their speed is uncertain by about as much.
 	similar = 1.6
+	// contendedShare is the share of the slots from which on an entry takes only
+	// its part of those that are free. Below it, the places that others may have
+	// taken since the last exchange are free anyway.
+	contendedShare = 0.5
+	// freePart is the number of even parts of the free places that an entry takes
+	// in an exchange: others have taken places since the counts that it knows.
+	// In TestHerd with a third more than can be served, 9.1 % of the requests find
+	// no place with 1, 3.0 % with 0.5.
+	freePart = 0.5
+	// exchangeInterval is the time between two counts of another entry.
+	exchangeInterval = 400 * time.Millisecond
 	// draws is the number of backend servers that are drawn.
 	draws = 3
 	// loadCost is what a full backend server costs beyond an idle one, as a
@@ -73,6 +85,16 @@
 	toldCold    time.Time
 	coldSends   []time.Time
 	toldLoad    time.Time // when it told others
+	// allowed is the number of requests that this entry may have there until the
+	// next exchange, so that entries do not all fill the same place.
+	allowed int
+}
+
+// allow sets how many requests this entry may have there: those that it has and a
+// part of the places that are free. A fraction is rounded at random.
+func (s *server) allow(slots, entries int, random *rand.Rand) {
+	free := max(0, slots-s.inFlight-s.others)
+	s.allowed = s.inFlight + int(freePart*float64(free)/float64(entries)+random.Float64())
 }
 
 // observe notes how a request ended.
@@ -171,7 +193,8 @@
 			slots = (slots + p.entries - 1) / p.entries
 		}
 		cold := svc.spec.ColdPerSecond > 0 && s.isCold(now, p.returned[s.info.FailureDomain])
-		if running >= slots || (cold && !s.mayTakeCold(now, p.coldLimit(svc.spec.ColdPerSecond))) {
+		contended := p.othersKnown && p.entries > 1 && float64(running) >= contendedShare*float64(slots)
+		if running >= slots || (contended && s.inFlight >= s.allowed) || (cold && !s.mayTakeCold(now, p.coldLimit(svc.spec.ColdPerSecond))) {
 			full = true
 			continue
 		}
