--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -28,6 +28,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -57,6 +58,9 @@
 	// counts as one. Shares of common limits are computed from the count, so it must
 	// outlast a restart.
 	entryWindow = 15 * time.Second
+	// standbyAge is how long ago a standby may have followed last; it does so
+	// once a second.
+	standbyAge = 1500 * time.Millisecond
 )
 
 // Config is what a registrar needs.
@@ -326,6 +330,25 @@
 	return list
 }
 
+// Standbys returns the registrars that hold no part of the log, so that nothing is
+// lost with their hosts.
+func (r *Registrar) Standbys() []string {
+	holders := map[string]bool{}
+	for _, m := range r.core.status().Members {
+		holders[m.Address] = true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []string
+	for address, seen := range r.followers {
+		if !holders[address] && time.Since(seen) < standbyAge {
+			list = append(list, address)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // leaderAddress returns the leader that this registrar's log knows, or else the
 // one that others have told of.
 func (r *Registrar) leaderAddress() string {
