ranks, platform: orders without an answer are given again sooner; reports only when needed

Ruled out: no calm time at all: a group would be held while a rank answers nothing; the probe before each hold still asks for an answer of every rank. Reports are read and plans made only if an even map would be worth a change, or once a second. Conclusion: the plan itself is what the leader's time goes to.

--- a/internal/coordination/ranks/change.go
+++ b/internal/coordination/ranks/change.go
@@ -16,9 +16,13 @@
 	// copyTimeout is the time after which a copy that was ordered is ordered
 	// again. A rank copies for up to two seconds.
 	copyTimeout = 4 * time.Second
+	// copyRetry is the time after which a copy is ordered again whose order got no
+	// answer. The one of them that comes late is refused.
+	copyRetry = 100 * time.Millisecond
 	// calmTime is how long every order must have been answered before a group
-	// is held: a hold lasts until all ranks are armed.
-	calmTime = 3 * time.Second
+	// is held: a hold lasts until all ranks are armed, and orders without an
+	// answer prolong it. While a group waits, its passes are slow.
+	calmTime = 300 * time.Millisecond
 	// probeTime is how long the answers to a probe count: the hold follows at
 	// once.
 	probeTime = 150 * time.Millisecond
@@ -208,9 +212,12 @@
 	}
 	switch o := d.Order.(type) {
 	case Prepare:
-		// A rank that is still armed for the last change refuses.
-		if result != Refused {
+		switch result {
+		case Accepted:
 			s.ordered = now
+		case Unanswered:
+			s.ordered = now.Add(copyRetry - copyTimeout)
+		case Refused: // a rank that is still armed for the last change
 		}
 	case Hold:
 		switch result {
--- a/internal/coordination/ranks/keeper.go
+++ b/internal/coordination/ranks/keeper.go
@@ -27,12 +27,15 @@
 	// settleTime is how long the reports of a group may not show a change: reports
 	// from afar are 200 ms old.
 	settleTime = 400 * time.Millisecond
+	// reportAge is the longest time between two looks at the reports of a group.
+	reportAge = time.Second
 	// leadInterval is the time between two looks at whether this keeper leads, and
 	// leadSettle the time for orders that the last leader may have on their way.
 	leadInterval = 100 * time.Millisecond
 	leadSettle   = 200 * time.Millisecond
-	// callTimeout bounds a question to a rank, and orderTimeout an order, which
-	// takes a few milliseconds.
+	// callTimeout bounds a question to a rank, or an order to copy, which holds a
+	// whole map. orderTimeout bounds any other order, which takes a few
+	// milliseconds.
 	callTimeout  = 250 * time.Millisecond
 	orderTimeout = 100 * time.Millisecond
 	// maxSteps bounds the rounds of orders without a look at the reports.
@@ -66,6 +69,7 @@
 	maps       map[string]knownMap    // by group
 	changes    map[string]*change     // by group
 	ended      map[string]time.Time   // of the last change, by group
+	reported   map[string]time.Time   // of the last look at its reports, by group
 	versions   uint64
 	term       uint64
 	led        time.Time // since when this keeper leads
@@ -96,7 +100,7 @@
 func New(ctx context.Context, cfg Config, log hclog.Logger, scope tally.Scope) *Keeper {
 	k := &Keeper{
 		cfg: cfg, log: log, scope: scope,
-		popularity: map[string]*popularity{}, maps: map[string]knownMap{}, changes: map[string]*change{}, ended: map[string]time.Time{},
+		popularity: map[string]*popularity{}, maps: map[string]knownMap{}, changes: map[string]*change{}, ended: map[string]time.Time{}, reported: map[string]time.Time{},
 	}
 	go func() {
 		var planned time.Time
@@ -184,9 +188,10 @@
 func (k *Keeper) planAll(ctx context.Context, term uint64, groups []Group) {
 	for _, g := range groups {
 		spec, ok := k.cfg.Spec(g.Service)
-		if !ok || k.changes[g.Name] != nil || time.Since(k.ended[g.Name]) < settleTime {
+		if !ok || k.changes[g.Name] != nil || time.Since(k.ended[g.Name]) < settleTime || k.isEven(g, spec) {
 			continue
 		}
+		k.reported[g.Name] = time.Now()
 		reports, ok := k.reports(ctx, g)
 		if !ok || k.takeOver(ctx, g, reports) {
 			continue
@@ -213,6 +218,15 @@
 	}
 }
 
+// isEven says that no change of the map in use is worth it even if all slots are
+// taken, as far as is known without asking the ranks. They are asked now and then
+// all the same: another keeper may have left something.
+func (k *Keeper) isEven(g Group, spec catalog.Experts) bool {
+	known, p := k.maps[g.Name], k.popularity[g.Service]
+	return p != nil && known.content != nil && known.epoch == g.Epoch &&
+		time.Since(k.reported[g.Name]) < reportAge && !p.mayGain(spec, known.content, 1)
+}
+
 // takeOver completes what another keeper, or an order that came late, has left.
 // It says whether there was anything.
 func (k *Keeper) takeOver(ctx context.Context, g Group, reports []Report) bool {
@@ -347,7 +361,11 @@
 	if _, err := k.cfg.Lead(ctx); err != nil {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	timeout := orderTimeout
+	if _, ok := orders[0].Order.(Prepare); ok {
+		timeout = callTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	results := make([]Result, len(orders))
 	var group sync.WaitGroup
--- a/internal/coordination/ranks/plan.go
+++ b/internal/coordination/ranks/plan.go
@@ -82,10 +82,26 @@
 	copies        int
 }
 
+// mayGain says whether a map that is perfectly even would be worth a change.
+func (p *popularity) mayGain(spec catalog.Experts, current Map, load float64) bool {
+	if len(current) != spec.Sets {
+		return false
+	}
+	skew := 0.0
+	for set := range p.sets {
+		shares := p.sets[set].Shares()
+		if shares == nil {
+			return false
+		}
+		skew += rebalance.Placement(current[set]).Skew(shares) / float64(spec.Sets)
+	}
+	return skew-1 >= minGain/load
+}
+
 // improve plans a map for a group, or nil if none is worth a change. The less
 // a group has to do, the more a change must bring.
 func (p *popularity) improve(spec catalog.Experts, current Map, load float64) *plan {
-	if len(current) != spec.Sets {
+	if !p.mayGain(spec, current, load) {
 		return nil
 	}
 	out := &plan{next: make(Map, spec.Sets)}
