pool, gateway: a line whenever a belief on a group, backend server or path changes

Change: every half second the gateway logs which groups are slow or resting, which backend servers are avoided or failing and which paths delay events, with the figures and their age, if that has changed; a counter by state.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -85,7 +85,11 @@
 	known   chan struct{} // closed with the first view
 	waiting map[*pool.Request]chan pool.Decision
 	served  uint64 // successful calls, for the sample
-	random  *rand.Rand
+	// believed is what the log has told of the pool's beliefs, by subject, and
+	// targetGap that of the last stream.
+	believed  map[string]pool.State
+	targetGap time.Duration
+	random    *rand.Rand
 }
 
 var _ http.Handler = (*Gateway)(nil)
@@ -98,8 +102,8 @@
 		bodies:  budget{limit: cfg.BodyMemory},
 		pool:    pool.New(cfg.Pool),
 		known:   make(chan struct{}),
-		waiting: map[*pool.Request]chan pool.Decision{},
-		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		waiting: map[*pool.Request]chan pool.Decision{}, believed: map[string]pool.State{},
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	go func() {
 		queue, idle := time.NewTicker(queueInterval), time.NewTicker(expireInterval)
@@ -113,6 +117,7 @@
 				g.tick()
 			case now := <-idle.C:
 				g.client.Expire(now)
+				g.tellBeliefs(now)
 			}
 		}
 	}()
@@ -189,6 +194,25 @@
 	g.metrics.inFlight.Update(float64(inFlight))
 }
 
+// tellBeliefs logs what the pool believes of groups, backend servers and failure
+// domains whenever that has changed since the last look.
+func (g *Gateway) tellBeliefs(now time.Time) {
+	g.mu.Lock()
+	beliefs := g.pool.Beliefs(now, g.targetGap)
+	g.mu.Unlock()
+	told := make(map[string]pool.State, len(beliefs))
+	for _, b := range beliefs {
+		told[b.Subject] = b.State
+		if b.State == g.believed[b.Subject] {
+			continue
+		}
+		g.metrics.count("beliefs_changed", b.State.String())
+		g.log.Info("belief changed", "subject", b.Subject, "state", b.State.String(), "before", g.believed[b.Subject].String(),
+			"slowness", b.Slowness, "limit", b.Limit, "share", b.Share, "age_ms", b.Age.Milliseconds())
+	}
+	g.believed = told
+}
+
 // grant tells waiting calls what was decided. The caller holds g.mu.
 func (g *Gateway) grant() {
 	for _, grant := range g.pool.Next(time.Now()) {
@@ -203,6 +227,9 @@
 // nil if ctx has ended first.
 func (g *Gateway) acquire(ctx context.Context, r *pool.Request) pool.Decision {
 	g.mu.Lock()
+	if r.TargetGap > 0 {
+		g.targetGap = r.TargetGap
+	}
 	decision := g.pool.Ask(time.Now(), r)
 	if _, wait := decision.(pool.Wait); !wait {
 		g.mu.Unlock()
--- /dev/null
+++ b/internal/coordination/pool/belief.go
@@ -0,0 +1,89 @@
+package pool
+
+import "time"
+
+// Belief is what the pool believes of something that changes its choices, with
+// the figures behind it. Beliefs are comparable by State.
+type Belief struct {
+	// Subject is a group, a backend server, or a failure domain.
+	Subject string
+	State   State
+	// Slowness is how much longer a group's passes take than by the catalog, and
+	// Limit the requests at one rank that it gets.
+	Slowness float64
+	Limit    int
+	// Share is that of failures at a backend server, or of delayed events from a
+	// failure domain.
+	Share float64
+	// Age is the time since what it was last believed by.
+	Age time.Duration
+}
+
+// State is what is believed.
+type State uint8
+
+// The states.
+const (
+	Sound   State = iota // sound
+	Slow                 // slow
+	Resting              // resting
+	Avoided              // avoided
+	Failing              // failing
+	Delayed              // delayed
+)
+
+// Shares from which on a belief is told.
+const (
+	// failingShare is about two failures in a row of a sound backend server.
+	failingShare = 0.35
+	// delayedShare is that from which a path is left alone if there is another.
+	delayedShare = (similar - 1) / pauseCost
+)
+
+// Beliefs returns what is believed of all groups, backend servers and failure
+// domains. targetGap is that of the streams whose limit is told.
+func (p *Pool) Beliefs(now time.Time, targetGap time.Duration) []Belief {
+	var list []Belief
+	for name, g := range p.groups {
+		list = append(list, p.groupBelief(now, name, g, targetGap))
+	}
+	for id, s := range p.servers {
+		b := Belief{Subject: "backend server " + id, Share: s.failureShare(now), Age: now.Sub(s.failedAt)}
+		switch {
+		case s.failedAt.IsZero():
+			continue
+		case now.Before(s.avoidUntil) || s.misses > 0:
+			b.State = Avoided
+		case b.Share >= failingShare:
+			b.State = Failing
+		}
+		list = append(list, b)
+	}
+	for domain, way := range p.paths {
+		b := Belief{Subject: "failure domain " + domain, Share: way.share(now), Age: now.Sub(way.seen)}
+		if domain != p.cfg.FailureDomain && p.pathCost(now, domain) >= 1+delayedShare*pauseCost {
+			b.State = Delayed
+		}
+		list = append(list, b)
+	}
+	return list
+}
+
+func (p *Pool) groupBelief(now time.Time, name string, g *group, targetGap time.Duration) Belief {
+	b := Belief{Subject: "group " + name, Slowness: g.slow(now), Age: now.Sub(g.moved)}
+	for _, svc := range p.services {
+		for _, s := range svc.servers {
+			if s.info.Group == name {
+				slots := s.slots(svc)
+				b.Limit = g.limit(now, svc.spec.Engine, slots, targetGap)
+				if b.Limit < slots {
+					b.State = Slow
+				}
+			}
+		}
+	}
+	if g.rests(now, targetGap) {
+		b.State = Resting
+	}
+	return b
+}
--- a/internal/coordination/pool/group_test.go
+++ b/internal/coordination/pool/group_test.go
@@ -245,3 +245,54 @@
 		t.Errorf("%d of %d refusals came after a long wait, want a tenth at most", heldLong, refused)
 	}
 }
+
+// TestBeliefs guards against a group, a backend server or a path that is left
+// alone without a word in the log.
+func TestBeliefs(t *testing.T) {
+	later := start.Add(2 * newFor)
+	tests := map[string]struct {
+		prepare func(*Pool)
+		want    map[string]State
+	}{
+		"sound": {prepare: func(*Pool) {}, want: map[string]State{"group g0": Sound}},
+		"resting": {
+			prepare: func(p *Pool) { p.Event(start, "r0", 0, 0) },
+			want:    map[string]State{"group g0": Resting},
+		},
+		"slow": {
+			prepare: func(p *Pool) {
+				p.SetOthers(start, map[string]uint32{})
+				for range 30 {
+					p.Event(later, "r0", 0, 120*time.Millisecond)
+				}
+			},
+			want: map[string]State{"group g0": Slow, "failure domain fes": Sound},
+		},
+		"no connection": {
+			prepare: func(p *Pool) { p.servers["r1"].inFlight++; p.Done(later, "pool", "r1", Unreached, 0, 0) },
+			want:    map[string]State{"group g0": Sound, "backend server r1": Avoided},
+		},
+		"failures": {
+			prepare: func(p *Pool) {
+				for range 3 {
+					p.servers["r1"].inFlight++
+					p.Done(later, "pool", "r1", Failed, 0, 0)
+				}
+			},
+			want: map[string]State{"group g0": Sound, "backend server r1": Failing},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := ranksWorld(1)
+			test.prepare(p)
+			got := map[string]State{}
+			for _, b := range p.Beliefs(later, targetGap) {
+				got[b.Subject] = b.State
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
