--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -117,7 +117,8 @@
 				g.tick()
 			case now := <-idle.C:
 				g.client.Expire(now)
-				g.tellBeliefs(now)
+				// The tick may be from before a time in which the process stood still.
+				g.tellBeliefs(time.Now())
 			}
 		}
 	}()
--- a/internal/coordination/pool/belief.go
+++ b/internal/coordination/pool/belief.go
@@ -15,7 +15,7 @@
 	// Share is that of failures at a backend server, or of delayed events from a
 	// failure domain.
 	Share float64
-	// Age is the time since what it was last believed by.
+	// Age is the time since what it was last believed by, or 0 for nothing.
 	Age time.Duration
 }
 
@@ -70,7 +70,10 @@
 }
 
 func (p *Pool) groupBelief(now time.Time, name string, g *group, targetGap time.Duration) Belief {
-	b := Belief{Subject: "group " + name, Slowness: g.slow(now), Age: now.Sub(g.moved)}
+	b := Belief{Subject: "group " + name, Slowness: g.slow(now)}
+	if !g.moved.IsZero() {
+		b.Age = now.Sub(g.moved)
+	}
 	for _, svc := range p.services {
 		for _, s := range svc.servers {
 			if s.info.Group == name {
--- a/internal/coordination/pool/group.go
+++ b/internal/coordination/pool/group.go
@@ -15,7 +15,8 @@
 	// maxSlowness bounds what one pass says of the next ones: a group that is
 	// held for a moment is not slow.
 	maxSlowness = 5.0
-	// newSlowness is assumed of a group that has just formed: it begins with a
+	// newSlowness is assumed of a group that has just formed, that is, whose epoch
+	// is new or whose ranks are still cold: it begins with a
 	// map that knows nothing of what is liked, whose busiest rank has two to
 	// three times the mean, and with all that waited meanwhile.
 	newSlowness = 2.5
@@ -52,11 +53,11 @@
 	moved    time.Time // of the last event
 	streams  int       // of this entry, with an event
 	silent   time.Time // when a request got no answer and nothing moved
-	formed   time.Time // when its epoch was announced
+	formed   time.Time // when the entry heard of its epoch, if it had just formed
 }
 
 // updateGroups takes the newest that any rank has announced of its group.
-func (p *Pool) updateGroups() {
+func (p *Pool) updateGroups(now time.Time) {
 	newest := map[string]time.Time{}
 	for _, s := range p.servers {
 		name := s.info.Group
@@ -65,10 +66,17 @@
 		}
 		g := p.groups[name]
 		if g == nil || s.info.Epoch > g.epoch {
-			g = &group{epoch: s.info.Epoch, formed: s.info.Received}
+			isNew := g != nil
+			g = &group{epoch: s.info.Epoch}
+			if isNew {
+				g.formed = now
+			}
 			p.groups[name] = g
 			delete(newest, name)
 		}
+		if s.info.Epoch == g.epoch && g.formed.IsZero() && now.Before(s.info.ColdUntil) {
+			g.formed = now
+		}
 		if s.info.Epoch == g.epoch && s.info.Received.After(newest[name]) {
 			newest[name], g.broken = s.info.Received, s.info.Broken
 		}
@@ -121,12 +129,9 @@
 // slow returns how much longer passes take than by the catalog.
 func (g *group) slow(now time.Time) float64 {
 	if g.slowness == 0 {
-		if now.Sub(g.formed) < newFor {
-			return newSlowness
-		}
 		return 1
 	}
-	weight := math.Exp(-now.Sub(g.moved).Seconds() / slownessFade.Seconds())
+	weight := math.Exp(-max(0, now.Sub(g.moved)).Seconds() / slownessFade.Seconds())
 	return 1 + weight*(g.slowness-1)
 }
 
@@ -136,7 +141,11 @@
 	if e == nil || targetGap == 0 || e.StepsPerPass == 0 || e.RequestStepTime == 0 {
 		return slots
 	}
-	step := gapMargin * float64(targetGap) / g.slow(now) / float64(e.StepsPerPass)
+	slowness := g.slow(now)
+	if g.slowness == 0 && now.Sub(g.formed) < newFor {
+		slowness = newSlowness
+	}
+	step := gapMargin * float64(targetGap) / slowness / float64(e.StepsPerPass)
 	fitting := int((step - float64(e.StepTime)) / float64(e.RequestStepTime))
 	return min(slots, max(fitting, int(math.Ceil(minShare*float64(slots)))))
 }
--- a/internal/coordination/pool/group_test.go
+++ b/internal/coordination/pool/group_test.go
@@ -246,6 +246,38 @@
 	}
 }
 
+// TestNewGroup guards against a group that has just formed being filled at once,
+// before its map knows what is liked, and against an entry that has just started
+// taking a group that works for a new one.
+func TestNewGroup(t *testing.T) {
+	tests := map[string]struct {
+		first, second func(*follower.View)
+		want          int // requests at its two ranks
+	}{
+		"an entry that starts": {want: 24},
+		"ranks that are cold": {
+			first: func(v *follower.View) { v.Servers[1].ColdUntil = start.Add(time.Second) }, want: 12,
+		},
+		"a new epoch": {
+			second: func(v *follower.View) { v.Servers[0].Epoch, v.Servers[1].Epoch = 2, 2 }, want: 12,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := world(Config{}, 0, nil)
+			p.Update(start, ranksView(1, test.first))
+			if test.second != nil {
+				p.Update(start, ranksView(1, test.second))
+			}
+			p.SetOthers(start, map[string]uint32{})
+			assigned(p, start, 40)
+			if _, running := p.Counts(); running != test.want {
+				t.Errorf("%d requests run, want %d", running, test.want)
+			}
+		})
+	}
+}
+
 // TestBeliefs guards against a group, a backend server or a path that is left
 // alone without a word in the log.
 func TestBeliefs(t *testing.T) {
--- a/internal/coordination/pool/pool.go
+++ b/internal/coordination/pool/pool.go
@@ -215,7 +215,7 @@
 	for name, s := range p.services {
 		s.setSpec(v.Index.Service(name))
 	}
-	p.updateGroups()
+	p.updateGroups(now)
 }
 
 // SetOthers takes the requests that other entries have in flight, or nil if that
