pool, logging: explain tells what the request's process believed

Cause: a request that was refused without an attempt names no backend server, so that explain showed none of the beliefs that led to the refusal. Change: beliefs name a group, a backend server or a failure domain in a field of their own; explain adds those on groups and failure domains of the same process. Ruled out: those of all processes: each entry believes by what it has seen.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -38,6 +38,7 @@
 	"oleanderrack.example/oleanderrack/internal/coordination/follower"
 	"oleanderrack.example/oleanderrack/internal/coordination/pool"
 	"oleanderrack.example/oleanderrack/internal/protocol/backend"
+	"oleanderrack.example/oleanderrack/internal/transport/logging"
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
 
@@ -87,7 +88,7 @@
 	served  uint64 // successful calls, for the sample
 	// believed is what the log has told of the pool's beliefs, by subject, and
 	// targetGap that of the last stream.
-	believed  map[string]pool.State
+	believed  map[pool.Subject]pool.State
 	targetGap time.Duration
 	random    *rand.Rand
 }
@@ -102,7 +103,7 @@
 		bodies:  budget{limit: cfg.BodyMemory},
 		pool:    pool.New(cfg.Pool),
 		known:   make(chan struct{}),
-		waiting: map[*pool.Request]chan pool.Decision{}, believed: map[string]pool.State{},
+		waiting: map[*pool.Request]chan pool.Decision{}, believed: map[pool.Subject]pool.State{},
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	go func() {
@@ -201,14 +202,14 @@
 	g.mu.Lock()
 	beliefs := g.pool.Beliefs(now, g.targetGap)
 	g.mu.Unlock()
-	told := make(map[string]pool.State, len(beliefs))
+	told := make(map[pool.Subject]pool.State, len(beliefs))
 	for _, b := range beliefs {
 		told[b.Subject] = b.State
 		if b.State == g.believed[b.Subject] {
 			continue
 		}
 		g.metrics.count("beliefs_changed", b.State.String())
-		g.log.Info("belief changed", "subject", b.Subject, "state", b.State.String(), "before", g.believed[b.Subject].String(),
+		g.log.Info(logging.BeliefChanged, b.Subject.Kind.String(), b.Subject.ID, "state", b.State.String(), "before", g.believed[b.Subject].String(),
 			"slowness", b.Slowness, "limit", b.Limit, "share", b.Share, "age_ms", b.Age.Milliseconds())
 	}
 	g.believed = told
--- a/internal/coordination/pool/belief.go
+++ b/internal/coordination/pool/belief.go
@@ -3,10 +3,9 @@
 import "time"
 
 // Belief is what the pool believes of something that changes its choices, with
-// the figures behind it. Beliefs are comparable by State.
+// the figures behind it.
 type Belief struct {
-	// Subject is a group, a backend server, or a failure domain.
-	Subject string
+	Subject Subject
 	State   State
 	// Slowness is how much longer a group's passes take than by the catalog, and
 	// Limit the requests at one rank that it gets.
@@ -19,6 +18,22 @@
 	Age time.Duration
 }
 
+// Subject is what a belief is about.
+type Subject struct {
+	Kind SubjectKind
+	ID   string
+}
+
+// SubjectKind says what an id names.
+type SubjectKind uint8
+
+// The kinds of subjects.
+const (
+	OfGroup         SubjectKind = iota // group
+	OfServer                           // backend_server
+	OfFailureDomain                    // failure_domain
+)
+
 // State is what is believed.
 type State uint8
 
@@ -48,7 +63,7 @@
 		list = append(list, p.groupBelief(now, name, g, targetGap))
 	}
 	for id, s := range p.servers {
-		b := Belief{Subject: "backend server " + id, Share: s.failureShare(now), Age: now.Sub(s.failedAt)}
+		b := Belief{Subject: Subject{OfServer, id}, Share: s.failureShare(now), Age: now.Sub(s.failedAt)}
 		switch {
 		case s.failedAt.IsZero():
 			continue
@@ -60,7 +75,7 @@
 		list = append(list, b)
 	}
 	for domain, way := range p.paths {
-		b := Belief{Subject: "failure domain " + domain, Share: way.share(now), Age: now.Sub(way.seen)}
+		b := Belief{Subject: Subject{OfFailureDomain, domain}, Share: way.share(now), Age: now.Sub(way.seen)}
 		if domain != p.cfg.FailureDomain && p.pathCost(now, domain) >= 1+delayedShare*pauseCost {
 			b.State = Delayed
 		}
@@ -70,7 +85,7 @@
 }
 
 func (p *Pool) groupBelief(now time.Time, name string, g *group, targetGap time.Duration) Belief {
-	b := Belief{Subject: "group " + name, Slowness: g.slow(now)}
+	b := Belief{Subject: Subject{OfGroup, name}, Slowness: g.slow(now)}
 	if !g.moved.IsZero() {
 		b.Age = now.Sub(g.moved)
 	}
--- a/internal/coordination/pool/group_test.go
+++ b/internal/coordination/pool/group_test.go
@@ -284,12 +284,12 @@
 	later := start.Add(2 * newFor)
 	tests := map[string]struct {
 		prepare func(*Pool)
-		want    map[string]State
+		want    map[Subject]State
 	}{
-		"sound": {prepare: func(*Pool) {}, want: map[string]State{"group g0": Sound}},
+		"sound": {prepare: func(*Pool) {}, want: map[Subject]State{{OfGroup, "g0"}: Sound}},
 		"resting": {
 			prepare: func(p *Pool) { p.Event(start, "r0", 0, 0) },
-			want:    map[string]State{"group g0": Resting},
+			want:    map[Subject]State{{OfGroup, "g0"}: Resting},
 		},
 		"slow": {
 			prepare: func(p *Pool) {
@@ -298,11 +298,11 @@
 					p.Event(later, "r0", 0, 120*time.Millisecond)
 				}
 			},
-			want: map[string]State{"group g0": Slow, "failure domain fes": Sound},
+			want: map[Subject]State{{OfGroup, "g0"}: Slow, {OfFailureDomain, "fes"}: Sound},
 		},
 		"no connection": {
 			prepare: func(p *Pool) { p.servers["r1"].inFlight++; p.Done(later, "pool", "r1", Unreached, 0, 0) },
-			want:    map[string]State{"group g0": Sound, "backend server r1": Avoided},
+			want:    map[Subject]State{{OfGroup, "g0"}: Sound, {OfServer, "r1"}: Avoided},
 		},
 		"failures": {
 			prepare: func(p *Pool) {
@@ -311,14 +311,14 @@
 					p.Done(later, "pool", "r1", Failed, 0, 0)
 				}
 			},
-			want: map[string]State{"group g0": Sound, "backend server r1": Failing},
+			want: map[Subject]State{{OfGroup, "g0"}: Sound, {OfServer, "r1"}: Failing},
 		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			p := ranksWorld(1)
 			test.prepare(p)
-			got := map[string]State{}
+			got := map[Subject]State{}
 			for _, b := range p.Beliefs(later, targetGap) {
 				got[b.Subject] = b.State
 			}
--- a/internal/coordination/pool/pool.go
+++ b/internal/coordination/pool/pool.go
@@ -43,7 +43,7 @@
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
 
-//go:generate go tool stringer -type=Reason,Result,State -linecomment -output=pool_string.go
+//go:generate go tool stringer -type=Reason,Result,State,SubjectKind -linecomment -output=pool_string.go
 
 // Config holds what a pool is told at its start. Zero values of limits switch
 // them off.
--- a/internal/transport/logging/story.go
+++ b/internal/transport/logging/story.go
@@ -24,6 +24,10 @@
 	contextBefore = 10 * time.Second
 )
 
+// BeliefChanged is the message of a line that tells what a process believes from
+// then on of a group, a backend server or a failure domain.
+const BeliefChanged = "belief changed"
+
 // Line is one line of a log.
 type Line struct {
 	Time    time.Time
@@ -69,11 +73,15 @@
 
 var serverPattern = regexp.MustCompile(`^\S+`)
 
-// Explain writes, in order of time, all lines about a request, and those about
-// the backend servers that it was sent to from shortly before on. It returns
-// false if no line names the request.
+// process names the process that wrote a line: the last word of its source.
+func (l Line) process() string { return l.Source[strings.LastIndexByte(l.Source, ' ')+1:] }
+
+// Explain writes, in order of time, all lines about a request, and from shortly
+// before on those about the backend servers that it was sent to, and what its
+// process believed of groups and failure domains. It returns false if no line
+// names the request.
 func Explain(w io.Writer, request string, lines []Line) bool {
-	servers, first := map[string]bool{}, time.Time{}
+	servers, processes, first := map[string]bool{}, map[string]bool{}, time.Time{}
 	for _, l := range lines {
 		if l.Fields["request_id"] != request {
 			continue
@@ -81,6 +89,7 @@
 		if first.IsZero() || l.Time.Before(first) {
 			first = l.Time
 		}
+		processes[l.process()] = true
 		attempts, _ := l.Fields["attempts"].([]any)
 		for _, a := range attempts {
 			servers[serverPattern.FindString(fmt.Sprint(a))] = true
@@ -92,7 +101,8 @@
 	var story []Line
 	for _, l := range lines {
 		name, _ := l.Fields["backend_server"].(string)
-		about := servers[name] && l.Time.After(first.Add(-contextBefore)) && !l.Time.After(first.Add(time.Second))
+		believed := l.Message == BeliefChanged && name == "" && processes[l.process()]
+		about := (servers[name] || believed) && l.Time.After(first.Add(-contextBefore)) && !l.Time.After(first.Add(time.Second))
 		if l.Fields["request_id"] == request || about {
 			story = append(story, l)
 		}
