--- a/internal/coordination/gateway/call.go
+++ b/internal/coordination/gateway/call.go
@@ -205,5 +205,5 @@
 	c.gateway.mu.Lock()
 	defer c.gateway.mu.Unlock()
 	c.gateway.served++
-	return c.gateway.served%successSample == 1
+	return c.gateway.served%uint64(c.gateway.cfg.SuccessSample) == 0
 }
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -55,8 +55,9 @@
 	firstViewWait = 1600 * time.Millisecond
 	// defaultBodyBytes bounds a body while no catalog says otherwise.
 	defaultBodyBytes = 4 << 20
-	// successSample is the number of successful calls for one log line.
-	successSample = 50
+	// DefaultSuccessSample is the number of successful calls for one log line: an
+	// entry that serves 10 a second logs one every five seconds.
+	DefaultSuccessSample = 50
 )
 
 // Config is what a Gateway needs.
@@ -70,6 +71,9 @@
 	Confirmed      func() time.Time
 	// BodyMemory bounds the bytes of request bodies held at once.
 	BodyMemory int64
+	// SuccessSample is the number of successful calls for one log line; 0 stands
+	// for DefaultSuccessSample.
+	SuccessSample int
 }
 
 // Gateway is the HTTP handler of an entry. Use New.
@@ -98,6 +102,9 @@
 // New returns a gateway without a view: it refuses until Update has been
 // called. It ends with ctx.
 func New(ctx context.Context, cfg Config, log hclog.Logger, scope tally.Scope) *Gateway {
+	if cfg.SuccessSample == 0 {
+		cfg.SuccessSample = DefaultSuccessSample
+	}
 	g := &Gateway{
 		cfg: cfg, log: log, client: backend.New(cfg.Dialect), metrics: newMetrics(scope),
 		bodies:  budget{limit: cfg.BodyMemory},
--- a/internal/transport/logging/logging.go
+++ b/internal/transport/logging/logging.go
@@ -6,8 +6,8 @@
 dropped first; warnings and errors keep a reserve of the ring. What was dropped
 is counted and told in a line of its own.
 
-	log, closer := logging.New("entry", "info", os.Stdout)
-	defer closer.Close()
+	log, sink := logging.New("entry", logging.Config{Level: "info"}, os.Stdout)
+	defer sink.Close()
 */
 package logging
 
@@ -28,33 +28,49 @@
 	ringLines = 2048
 	// reserve is the part of the ring that only warnings and errors may use.
 	reserve = 512
-	// linesPerSecond and lineBurst bound informational lines, so that logging
-	// stays under a few hundredths of a core.
-	linesPerSecond = 300
-	lineBurst      = 600
+	// DefaultLinesPerSecond bounds informational lines, so that logging stays
+	// under a few hundredths of a core. Twice as many may come at once.
+	DefaultLinesPerSecond = 300
 	// closeTimeout bounds how long the end of a process waits for its lines.
 	closeTimeout = 200 * time.Millisecond
 )
 
-// New returns a logger of JSON lines and a closer that writes what waits.
-func New(name, level string, out io.Writer) (hclog.Logger, io.Closer) {
-	r := &ring{out: out, lines: make(chan []byte, ringLines), done: make(chan struct{}), limit: rate.NewLimiter(linesPerSecond, lineBurst)}
+// Config is what may be set for a logger.
+type Config struct {
+	// Level is the least level that is logged.
+	Level string
+	// LinesPerSecond bounds informational lines; 0 stands for
+	// DefaultLinesPerSecond.
+	LinesPerSecond int
+}
+
+// New returns a logger of JSON lines and the sink that writes them.
+func New(name string, cfg Config, out io.Writer) (hclog.Logger, *Sink) {
+	if cfg.LinesPerSecond == 0 {
+		cfg.LinesPerSecond = DefaultLinesPerSecond
+	}
+	r := &Sink{
+		out: out, lines: make(chan []byte, ringLines), done: make(chan struct{}),
+		limit: rate.NewLimiter(rate.Limit(cfg.LinesPerSecond), 2*cfg.LinesPerSecond),
+	}
 	go func() {
 		defer close(r.done)
+		told := int64(0)
 		for line := range r.lines {
 			r.out.Write(line) // there is nowhere to tell that logs cannot be written
-			if n := r.dropped.Swap(0); n > 0 {
+			if n := r.Dropped() - told; n > 0 {
+				told += n
 				fmt.Fprintf(r.out, `{"@level":"warn","@message":"log lines were dropped","lines":%d}`+"\n", n)
 			}
 		}
 	}()
 	return hclog.New(&hclog.LoggerOptions{
-		Name: name, Level: hclog.LevelFromString(level), Output: r, JSONFormat: true, DisableTime: false,
+		Name: name, Level: hclog.LevelFromString(cfg.Level), Output: r, JSONFormat: true, DisableTime: false,
 	}), r
 }
 
-// ring is the writer behind a logger.
-type ring struct {
+// Sink is the writer behind a logger. Use New.
+type Sink struct {
 	out     io.Writer
 	dropped atomic.Int64
 	done    chan struct{}
@@ -72,7 +88,7 @@
 }
 
 // Write queues one line. It never blocks.
-func (r *ring) Write(line []byte) (int, error) {
+func (r *Sink) Write(line []byte) (int, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.closed {
@@ -90,8 +106,11 @@
 	return len(line), nil
 }
 
+// Dropped returns the number of lines dropped since the start.
+func (r *Sink) Dropped() int64 { return r.dropped.Load() }
+
 // Close writes what waits, for a short time at most.
-func (r *ring) Close() error {
+func (r *Sink) Close() error {
 	r.mu.Lock()
 	if !r.closed {
 		r.closed = true
--- a/internal/transport/logging/logging_test.go
+++ b/internal/transport/logging/logging_test.go
@@ -21,7 +21,7 @@
 // requests.
 func TestNeverBlocks(t *testing.T) {
 	out := stuck{release: make(chan struct{})}
-	log, closer := New("entry", "info", out)
+	log, closer := New("entry", Config{Level: "info"}, out)
 	done := make(chan struct{})
 	go func() {
 		for range 10 * ringLines {
@@ -47,7 +47,8 @@
 func TestDropped(t *testing.T) {
 	var mu sync.Mutex
 	var out bytes.Buffer
-	log, closer := New("entry", "info", writer(func(p []byte) (int, error) {
+	const lineBurst = 2 * DefaultLinesPerSecond
+	log, sink := New("entry", Config{Level: "info"}, writer(func(p []byte) (int, error) {
 		mu.Lock()
 		defer mu.Unlock()
 		return out.Write(p)
@@ -56,10 +57,13 @@
 		log.Info("answered")
 	}
 	log.Error("failed", "request_id", "r1")
-	closer.Close()
+	sink.Close()
+	if sink.Dropped() == 0 {
+		t.Error("no dropped line was counted")
+	}
 	mu.Lock()
 	defer mu.Unlock()
-	if n := strings.Count(out.String(), "answered"); n > lineBurst+linesPerSecond {
+	if n := strings.Count(out.String(), "answered"); n > lineBurst+DefaultLinesPerSecond {
 		t.Errorf("%d lines were written", n)
 	}
 	for _, want := range []string{`"request_id":"r1"`, "log lines were dropped"} {
