--- a/internal/acceptance/link_test.go
+++ b/internal/acceptance/link_test.go
@@ -4,7 +4,9 @@
 	"errors"
 	"fmt"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/Shopify/toxiproxy"
 	"github.com/sirupsen/logrus"
@@ -41,10 +43,19 @@
 // linkTries bounds the ports that a new link tries.
 const linkTries = 5
 
+// reopenTime bounds how long a link tries to listen on its address again. A
+// process that another row is starting has a copy of the listener until it runs
+// its own program.
+const reopenTime = 2 * time.Second
+
 // open starts a link again on its address.
 func (l *link) open() {
 	l.t.Helper()
-	if err := l.start(); err != nil {
+	err := l.start()
+	for deadline := time.Now().Add(reopenTime); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(deadline); err = l.start() {
+		time.Sleep(time.Millisecond)
+	}
+	if err != nil {
 		l.t.Fatal(err)
 	}
 }
