--- a/internal/coordination/pool/group.go
+++ b/internal/coordination/pool/group.go
@@ -16,9 +16,9 @@
 	// held for a moment is not slow.
 	maxSlowness = 5.0
 	// newSlowness is assumed of a group that has just formed, that is, whose epoch
-	// is new or whose ranks are still cold: it begins with a
-	// map that knows nothing of what is liked, whose busiest rank has two to
-	// three times the mean, and with all that waited meanwhile.
+	// is new or whose ranks are still cold. It begins with a map that knows nothing
+	// of what is liked, whose busiest rank has two to three times the mean, and
+	// with all that waited meanwhile.
 	newSlowness = 2.5
 	// newFor is how long that is assumed unless passes show otherwise.
 	newFor = 2 * time.Second
--- a/internal/coordination/pool/pool.go
+++ b/internal/coordination/pool/pool.go
@@ -240,8 +240,9 @@
 	return grants
 }
 
-// hopeless refuses a request that has waited out its time, and, in the moment in
-// which it can no longer be served on time, one that will.
+// hopeless refuses a request that has waited out its time. One that can no longer
+// be served on time, which turned says, is refused at once if it would not be
+// served at all: those that can be go before it.
 func (p *Pool) hopeless(now time.Time, svc *service, r *Request, ahead int, turned map[*Request]bool) (Refuse, bool) {
 	if !now.Before(r.Latest) {
 		return svc.refuse(now, r, fault.Overloaded, WaitedOut, now.Sub(r.Arrived), p.entries), true
--- a/internal/coordination/pool/service.go
+++ b/internal/coordination/pool/service.go
@@ -32,7 +32,7 @@
 type service struct {
 	spec    catalog.Service
 	servers []*server
-	queue   []*Request // by priority, then arrival
+	queue   []*Request // in the order of compare
 	first   time.Duration
 	held    time.Duration
 	asked   window // requests that could be served on time
@@ -62,6 +62,7 @@
 	return mean + time.Duration(meanWeight*float64(value-mean))
 }
 
+// enqueue keeps the queue in the order of compare.
 func (s *service) enqueue(r *Request) {
 	at, _ := slices.BinarySearchFunc(s.queue, r, compare)
 	s.queue = slices.Insert(s.queue, at, r)
