pool: the bound of a delayed path is the one that the choice uses

Cause: a second reading of the change: the belief on a path computed the bound of the choice backwards, by a share that is multiplied by the cost again. Change: the belief compares the path's cost with similar, as pick does. Conclusion: no behaviour changes.

--- a/internal/coordination/pool/belief.go
+++ b/internal/coordination/pool/belief.go
@@ -47,13 +47,9 @@
 	Delayed              // delayed
 )
 
-// Shares from which on a belief is told.
-const (
-	// failingShare is about two failures in a row of a sound backend server.
-	failingShare = 0.35
-	// delayedShare is that from which a path is left alone if there is another.
-	delayedShare = (similar - 1) / pauseCost
-)
+// failingShare is the share of failures from which on a backend server is told to
+// fail, about two in a row of a sound one.
+const failingShare = 0.35
 
 // Beliefs returns what is believed of all groups, backend servers and failure
 // domains. targetGap is that of the streams whose limit is told.
@@ -76,7 +72,8 @@
 	}
 	for domain, way := range p.paths {
 		b := Belief{Subject: Subject{OfFailureDomain, domain}, Share: way.share(now), Age: now.Sub(way.seen)}
-		if domain != p.cfg.FailureDomain && p.pathCost(now, domain) >= 1+delayedShare*pauseCost {
+		if domain != p.cfg.FailureDomain && p.pathCost(now, domain) >= similar {
+			// It is left alone if there is another path.
 			b.State = Delayed
 		}
 		list = append(list, b)
