routing: keep to the service and to the row of a backend server

Cause: the prefix table names slots, so a slot that a backend server of another service took over was chosen (200 of 200 choices in TestReusedSlot before); a row that got a new number in the response that removes the old one lost its backend server, and the next load level panicked (TestRenumberedRow before). Ruled out: invalidate on reuse covers the cached share only, not the candidates. Change: usable checks the service; a slot knows its row. Result: both tests pass.

--- a/internal/coordination/routing/choose.go
+++ b/internal/coordination/routing/choose.go
@@ -141,7 +141,7 @@
 }
 
 func (v *View) usable(now time.Time, s *server, req *Request) bool {
-	if s == nil || !s.eligible || now.Before(s.blockedUntil) || req.Resume && !s.row.Resumes {
+	if s == nil || s.row.Service != req.Service || !s.eligible || now.Before(s.blockedUntil) || req.Resume && !s.row.Resumes {
 		return false
 	}
 	for i := range req.Excluded {
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -80,6 +80,7 @@
 	slot     int32
 	agent    *peer.Node
 	row      *peer.BackendServer
+	rowIndex uint32 // of row, in its region
 	hash     uint64
 	eligible bool
 	distance float64
@@ -197,7 +198,9 @@
 	for _, index := range w.Removed {
 		if slot, ok := r.rows[index]; ok {
 			delete(r.rows, index)
-			v.remove(slot)
+			if v.isAtRow(slot, index) {
+				v.remove(slot)
+			}
 		}
 	}
 	if w.Full {
@@ -231,7 +234,7 @@
 func (v *View) applyLoads(now time.Time, r *region, w *peer.WatchResponse) {
 	for i, index := range w.LoadIndex {
 		slot, ok := r.rows[index]
-		if !ok || i >= len(w.LoadLevel) {
+		if !ok || i >= len(w.LoadLevel) || !v.isAtRow(slot, index) {
 			continue
 		}
 		s := v.servers[slot]
@@ -242,6 +245,13 @@
 	}
 }
 
+// isAtRow reports whether the backend server in a slot is listed in a row. A
+// backend server can move to another row, and its slot to another one.
+func (v *View) isAtRow(slot int32, row uint32) bool {
+	s := v.servers[slot]
+	return s != nil && s.rowIndex == row
+}
+
 // upsert adds or updates the backend server of a row.
 func (v *View) upsert(now time.Time, regionName string, row *peer.BackendServerRow) int32 {
 	key := serverKey{region: regionName, server: row.BackendServer.Name}
@@ -259,7 +269,7 @@
 		slot = v.add(key, row)
 	}
 	s := v.servers[slot]
-	s.agent, s.row = row.Agent, row.BackendServer
+	s.agent, s.row, s.rowIndex = row.Agent, row.BackendServer, row.Index
 	s.distance = v.distance(s)
 	if l := row.BackendServer.Load; l != nil {
 		s.load.applyReport(now, l, v.cfg.Random.Float64())
--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -273,3 +273,40 @@
 		NewPrefix("pool", prompt)
 	}
 }
+
+// TestReusedSlot guards against requests for a backend server of another service:
+// the prefix table names slots, and a slot may have been taken over since.
+func TestReusedSlot(t *testing.T) {
+	in := simIntent()
+	in.Services = append(in.Services, intent.Service{Name: "other", Kind: intent.Model, FailureDomains: []string{"d0", "d1", "d2"}})
+	v := testView(t, simRow(0, idle()))
+	v.SetIntent("r1", in)
+	prefix := NewPrefix("pool", make([]byte, 64<<10))
+	req := Request{Service: "pool", Tokens: 100, Prefix: &prefix}
+	choice, err := v.Choose(start, req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	v.RecordStart(start, choice, &prefix)
+	v.RecordEnd(start, choice)
+	v.Apply(start, "r1", &peer.WatchResponse{Epoch: 1, Version: 2, Removed: []uint32{0}})
+	other := simRow(2, idle())
+	other.BackendServer.Service = "other"
+	v.Apply(start, "r1", &peer.WatchResponse{Epoch: 1, Version: 3, Rows: []*peer.BackendServerRow{other}})
+	if diff := cmp.Diff(map[string]int{"unavailable": 200}, countChoices(v, start, req)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestRenumberedRow guards against a backend server being lost, and against a
+// crash, when its row gets a new number in the response that removes the old one.
+func TestRenumberedRow(t *testing.T) {
+	v := testView(t, simRow(0, idle()), simRow(1, &peer.Load{Limit: 0}))
+	moved := simRow(0, idle())
+	moved.Index = 7
+	v.Apply(start, "r1", &peer.WatchResponse{Epoch: 1, Version: 2, Rows: []*peer.BackendServerRow{moved}, Removed: []uint32{0}})
+	v.Apply(start, "r1", &peer.WatchResponse{Epoch: 1, Version: 3, LoadIndex: []uint32{0, 7}, LoadLevel: []uint32{1, 1}})
+	if diff := cmp.Diff(map[string]int{"e0": 200}, countChoices(v, start, Request{Service: "pool", Tokens: 100})); diff != "" {
+		t.Error(diff)
+	}
+}
