--- a/internal/acceptance/system_test.go
+++ b/internal/acceptance/system_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -234,7 +237,9 @@
 }
 
 // awaitReady waits until all entries are ready and the leader's status lists at
-// least as many backend servers as there are hosts.
+// least as many backend servers as there are hosts, and until each entry knows as
+// many: an entry that knows one of two backend servers refuses requests when that
+// one is drained.
 func (s *system) awaitReady() {
 	s.t.Helper()
 	for _, e := range s.entries {
@@ -254,8 +259,22 @@
 		}
 		return nil
 	})
+	for _, e := range s.entries {
+		s.eventually(readyTimeout, "the entry knows all backend servers", func() error {
+			m := knownServersPattern.FindStringSubmatch(metricsOf(s.t, e.address))
+			if m == nil {
+				return errors.New("no number of backend servers in the metrics")
+			}
+			if known, err := strconv.Atoi(m[1]); err != nil || known < len(s.hosts) {
+				return fmt.Errorf("the entry knows %s of %d backend servers: %v", m[1], len(s.hosts), err)
+			}
+			return nil
+		})
+	}
 }
 
+var knownServersPattern = regexp.MustCompile(`(?m)^oleanderrack_known_backend_servers\{[^}]*\} (\S+)$`)
+
 func isReady(address string) error {
 	resp, err := http.Get("http://" + address + "/readyz")
 	if err != nil {
--- a/internal/coordination/entry/region.go
+++ b/internal/coordination/entry/region.go
@@ -51,6 +51,7 @@
 		} else {
 			r.mu.Lock()
 			r.view.Apply(time.Now(), reg.name, response)
+			r.scope.Gauge("known_backend_servers").Update(float64(r.view.Len()))
 			r.grantWaiting()
 			r.mu.Unlock()
 		}
