pool: parts of the cold limit that add up to it, and on-time requests first after an interruption

Registrars now tell an entry its position among all; what does not divide evenly goes to entries that differ from one backend server to the next (TestColdShares; before: 39 and 100 requests where 25 are allowed). Cause, interruption: the requests that waited while all groups were broken took every slot when these formed again, so all later ones were late too. One that can no longer be on time now takes a slot only if those that can do not need it at their current rate (TestBacklog: 48 of 48 slots go to on-time requests, 31 before). Cause, restarts: the end of a request to an earlier incarnation was subtracted from those of the new one (TestRestartedServer: a count of -1 before). Ruled out: waiting for heartbeats.

--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -77,8 +77,10 @@
 	// Drained holds the failure domains that get no new work.
 	Drained map[string]bool
 	Servers []Server
-	// Entries is the number of entries that share common limits, at least 1.
-	Entries int
+	// Entries is the number of entries that share common limits, at least 1, and
+	// EntryIndex the position of this one among them, from 0.
+	Entries    int
+	EntryIndex int
 }
 
 // Server is one backend server that may get work.
@@ -126,6 +128,8 @@
 	cancel    context.CancelFunc
 	reachable bool
 	entries   uint32
+	// entryIndex is the position of this entry among them.
+	entryIndex uint32
 }
 
 // New starts a follower. It runs until ctx ends.
@@ -269,8 +273,8 @@
 	if f.firstAnswerAt.IsZero() {
 		f.firstAnswerAt = now
 	}
-	changed := r.entries != res.Entries
-	r.entries = res.Entries
+	changed := r.entries != res.Entries || r.entryIndex != res.EntryIndex
+	r.entries, r.entryIndex = res.Entries, res.EntryIndex
 	if index != nil && (f.index == nil || index.Catalog.Version > f.index.Catalog.Version) {
 		f.index, changed = index, true
 		f.log.Info("catalog adopted", "version", index.Catalog.Version, "routes", len(index.Catalog.Routes), "from", address)
@@ -343,7 +347,10 @@
 func (f *Follower) publish() {
 	v := &View{Index: f.index, Drained: f.drained, Entries: 1}
 	for _, r := range f.registrars {
-		v.Entries = max(v.Entries, int(r.entries))
+		// A registrar that has just started does not know all entries yet.
+		if int(r.entries) >= v.Entries {
+			v.Entries, v.EntryIndex = int(r.entries), max(v.EntryIndex, int(r.entryIndex))
+		}
 	}
 	f.table.Entries(func(e *directory.Entry) {
 		a := e.Announcement
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -268,7 +268,7 @@
 	select {
 	case decision = <-decisions:
 		if a, ok := decision.(pool.Assign); ok {
-			g.pool.Done(time.Now(), r.Service, a.Server.ID, pool.Abandoned, 0, 0)
+			g.pool.Done(time.Now(), r.Service, a.Server.ID, a.Server.StartedMS, pool.Abandoned, 0, 0)
 			g.deliverDecisions()
 		}
 	default:
@@ -277,10 +277,10 @@
 }
 
 // finishAttempt reports the end of an attempt to the pool.
-func (g *Gateway) finishAttempt(service, id string, result pool.Result, timeToFirst, held time.Duration) {
+func (g *Gateway) finishAttempt(service string, to follower.Server, result pool.Result, timeToFirst, held time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.pool.Done(time.Now(), service, id, result, timeToFirst, held)
+	g.pool.Done(time.Now(), service, to.ID, to.StartedMS, result, timeToFirst, held)
 	g.deliverDecisions()
 }
 
--- a/internal/coordination/pool/group.go
+++ b/internal/coordination/pool/group.go
@@ -140,17 +140,22 @@
 	return 1 + weight*(g.slowness-1)
 }
 
+// assumedSlowness is currentSlowness, or newGroupSlowness for a group that has just
+// formed and whose passes are not known yet.
+func (g *group) assumedSlowness(now time.Time) float64 {
+	if g.slowness == 0 && now.Sub(g.formedAt) < newGroupPeriod {
+		return newGroupSlowness
+	}
+	return g.currentSlowness(now)
+}
+
 // limit returns the number of requests at one rank up to which passes stay
 // within the target gap.
 func (g *group) limit(now time.Time, e *catalog.Engine, slots int, targetGap time.Duration) int {
 	if e == nil || targetGap == 0 || e.StepsPerPass == 0 || e.RequestStepTime == 0 {
 		return slots
 	}
-	slowness := g.currentSlowness(now)
-	if g.slowness == 0 && now.Sub(g.formedAt) < newGroupPeriod {
-		slowness = newGroupSlowness
-	}
-	maxStepTime := gapMargin * float64(targetGap) / slowness / float64(e.StepsPerPass)
+	maxStepTime := gapMargin * float64(targetGap) / g.assumedSlowness(now) / float64(e.StepsPerPass)
 	fitting := int((maxStepTime - float64(e.StepTime)) / float64(e.RequestStepTime))
 	return min(slots, max(fitting, int(math.Ceil(minSlotShare*float64(slots)))))
 }
--- a/internal/coordination/pool/group_test.go
+++ b/internal/coordination/pool/group_test.go
@@ -160,7 +160,7 @@
 			now: later, want: []string{"g1"},
 			prepare: func(p *Pool) {
 				p.servers["r0"].inFlight++
-				p.Done(later, "pool", "r0", NoAnswer, 0, 500*time.Millisecond)
+				p.Done(later, "pool", "r0", 1, NoAnswer, 0, 500*time.Millisecond)
 			},
 		},
 	}
@@ -225,7 +225,7 @@
 				kept = append(kept, w)
 				continue
 			}
-			p.Done(now, "pool", "s0", Answered, 50*time.Millisecond, held)
+			p.Done(now, "pool", "s0", 1, Answered, 50*time.Millisecond, held)
 		}
 		running = kept
 		for _, d := range p.DecideQueued(now) {
@@ -302,14 +302,14 @@
 			want: map[Subject]State{{GroupSubject, "g0"}: Slow, {FailureDomainSubject, "fes"}: Healthy},
 		},
 		"no connection": {
-			prepare: func(p *Pool) { p.servers["r1"].inFlight++; p.Done(later, "pool", "r1", Unreachable, 0, 0) },
+			prepare: func(p *Pool) { p.servers["r1"].inFlight++; p.Done(later, "pool", "r1", 1, Unreachable, 0, 0) },
 			want:    map[Subject]State{{GroupSubject, "g0"}: Healthy, {ServerSubject, "r1"}: Avoided},
 		},
 		"failures": {
 			prepare: func(p *Pool) {
 				for range 3 {
 					p.servers["r1"].inFlight++
-					p.Done(later, "pool", "r1", Failed, 0, 0)
+					p.Done(later, "pool", "r1", 1, Failed, 0, 0)
 				}
 			},
 			want: map[Subject]State{{GroupSubject, "g0"}: Healthy, {ServerSubject, "r1"}: Failing},
@@ -329,3 +329,59 @@
 		})
 	}
 }
+
+// TestBacklog guards against the requests that have waited out an interruption
+// taking the slots of a group that has just formed, so that new requests, which
+// could be served on time, find none. The load is 30 requests a second on 48 slots
+// that are each taken for 2.5 s; all groups are broken for 1.2 s.
+func TestBacklog(t *testing.T) {
+	const (
+		tick        = 10 * time.Millisecond
+		perSecond   = 30
+		interrupted = 1200 * time.Millisecond
+		slots       = 48 // of four groups of two ranks, half of whose slots are used
+	)
+	p := newPool(Config{}, 0, nil)
+	views := func(change func(*follower.Server)) *follower.View {
+		return groupView(4, func(v *follower.View) {
+			spec, _ := v.Index.Service("pool")
+			spec.Engine.MeanAnswerTokens = 140
+			for i := range v.Servers {
+				change(&v.Servers[i])
+			}
+		})
+	}
+	p.Update(start, views(func(*follower.Server) {}))
+	broken := start.Add(time.Second)
+	formed := broken.Add(interrupted)
+	p.Update(broken, views(func(s *follower.Server) { s.Broken, s.Received = true, broken }))
+	started, onTime := 0, 0
+	apply := func(now time.Time, r *Request, d Decision) {
+		if _, ok := d.(Assign); !ok {
+			return
+		}
+		started++
+		if now.Before(r.TargetStart) {
+			onTime++
+		}
+	}
+	submitted := 0
+	for at := time.Duration(0); at < interrupted+2*time.Second; at += tick {
+		now := broken.Add(at)
+		if now.Equal(formed) {
+			p.Update(now, views(func(s *follower.Server) { s.Epoch, s.Received = 2, now }))
+		}
+		for _, d := range p.DecideQueued(now) {
+			apply(now, d.Request, d.Decision)
+		}
+		if int(at.Seconds()*perSecond) >= submitted {
+			submitted++
+			r := stream(now)
+			apply(now, r, p.Submit(now, r))
+		}
+	}
+	t.Logf("%d started, %d of them on time", started, onTime)
+	if onTime < slots*9/10 {
+		t.Errorf("%d of the %d slots went to requests that were on time, want at least %d", onTime, slots, slots*9/10)
+	}
+}
--- a/internal/coordination/pool/herd_test.go
+++ b/internal/coordination/pool/herd_test.go
@@ -99,7 +99,7 @@
 			continue
 		}
 		s.serverCounts[w.id]--
-		s.pools[w.entry].Done(now, "pool", w.id, Answered, 150*time.Millisecond, simMeanHeld)
+		s.pools[w.entry].Done(now, "pool", w.id, 0, Answered, 150*time.Millisecond, simMeanHeld)
 	}
 	s.running = kept
 	for i, p := range s.pools {
--- a/internal/coordination/pool/pool.go
+++ b/internal/coordination/pool/pool.go
@@ -66,6 +66,7 @@
 type Pool struct {
 	cfg          Config
 	entries      int
+	entryIndex   int                  // position of this entry among the entries
 	returnedAt   map[string]time.Time // by failure domain, when its drain ended
 	drained      map[string]bool
 	servers      map[string]*server
@@ -89,7 +90,7 @@
 
 // Update applies a new view of the backend servers.
 func (p *Pool) Update(now time.Time, v *follower.View) {
-	p.entries = v.Entries
+	p.entries, p.entryIndex = v.Entries, v.EntryIndex
 	for domain := range p.drained {
 		if !v.Drained[domain] {
 			p.returnedAt[domain] = now
@@ -180,7 +181,7 @@
 		svc.onTimeArrivals.add(now)
 	}
 	ahead := svc.ahead(r)
-	if ahead == 0 {
+	if ahead == 0 && (!r.late || p.mayStartLate(now, svc, r)) {
 		switch c := p.choose(now, svc, r).(type) {
 		case Assign:
 			p.assign(now, svc, r, c)
@@ -221,7 +222,7 @@
 			decisions = append(decisions, QueuedDecision{Request: r, Decision: refusal})
 			continue
 		}
-		if !full {
+		if !full && (!r.late || p.mayStartLate(now, svc, r)) {
 			switch c := p.choose(now, svc, r).(type) {
 			case Assign:
 				p.assign(now, svc, r, c)
@@ -263,14 +264,19 @@
 	if a.Cold {
 		s.coldSends = append(s.coldSends, now)
 	}
+	if r.late {
+		svc.lateStarts.add(now)
+	}
 	svc.countAttempt(now, r.IsRetry)
 }
 
-// Done records the end of a request at a backend server. timeToFirst is the time
-// to its first answer, or 0 if there was none.
-func (p *Pool) Done(now time.Time, serviceName, id string, result Result, timeToFirst, held time.Duration) {
+// Done records the end of a request at the incarnation of a backend server that
+// started at startedMS. timeToFirst is the time to its first answer, or 0 if there
+// was none.
+func (p *Pool) Done(now time.Time, serviceName, id string, startedMS uint64, result Result, timeToFirst, held time.Duration) {
 	s := p.servers[id]
-	if s == nil {
+	if s == nil || s.info.StartedMS != startedMS {
+		// The requests in flight of a new incarnation are counted from 0.
 		return
 	}
 	s.inFlight--
--- a/internal/coordination/pool/pool_test.go
+++ b/internal/coordination/pool/pool_test.go
@@ -79,7 +79,7 @@
 			servers: 1, request: request(1, start, time.Second), want: "refuse all_avoided",
 			prepare: func(p *Pool) {
 				p.Submit(start, request(1, start, time.Second))
-				p.Done(start, "pool", "s0", Unreachable, 0, 0)
+				p.Done(start, "pool", "s0", 1, Unreachable, 0, 0)
 			},
 		},
 		"another incarnation": {
@@ -120,7 +120,7 @@
 	}
 	// The mean time at the backend server becomes 400 ms: with four slots, one
 	// request ends every 100 ms.
-	p.Done(start, "pool", "s0", Answered, 50*time.Millisecond, 400*time.Millisecond)
+	p.Done(start, "pool", "s0", 1, Answered, 50*time.Millisecond, 400*time.Millisecond)
 	p.Submit(start, request(1, start, time.Second))
 	later, urgent := request(1, start, time.Second), request(0, start.Add(time.Millisecond), time.Second)
 	got := []string{kindOf(p.Submit(start, later)), kindOf(p.Submit(start, urgent)), kindOf(p.Submit(start, request(1, start, 250*time.Millisecond)))}
@@ -130,7 +130,7 @@
 	if decisions := p.DecideQueued(start); len(decisions) != 0 {
 		t.Errorf("%d requests were decided without a free slot", len(decisions))
 	}
-	p.Done(start, "pool", "s0", Answered, 50*time.Millisecond, 400*time.Millisecond)
+	p.Done(start, "pool", "s0", 1, Answered, 50*time.Millisecond, 400*time.Millisecond)
 	decisions := p.DecideQueued(start)
 	if len(decisions) != 1 || decisions[0].Request != urgent {
 		t.Errorf("the urgent request was not the only one decided: %v", decisions)
@@ -159,7 +159,7 @@
 					if isRetry {
 						retries++
 					}
-					p.Done(now, "pool", a.Server.ID, Failed, 0, 0)
+					p.Done(now, "pool", a.Server.ID, 1, Failed, 0, 0)
 				} else if f, ok := d.(Refuse); !ok || f.Kind != fault.RetryBudgetSpent {
 					t.Fatalf("unexpected decision %v", d)
 				}
@@ -182,8 +182,11 @@
 		v.Servers[0].Slots = 1000
 	}
 	sent := 0
-	for range entries {
-		p := newPool(Config{ColdSlack: 5}, 1, cold)
+	for index := range entries {
+		p := newPool(Config{ColdSlack: 5}, 1, func(v *follower.View) {
+			cold(v)
+			v.EntryIndex = index
+		})
 		for i := range 100 {
 			if kindOf(p.Submit(start.Add(time.Duration(i)*10*time.Millisecond), request(1, start, time.Minute))) == "assign" {
 				sent++
@@ -206,15 +209,49 @@
 	}
 }
 
+// TestColdShares guards against the parts of a cold backend server's limit adding
+// up to more than the limit where there are more entries than requests in it, and
+// against parts that leave most of the limit unused.
+func TestColdShares(t *testing.T) {
+	const limit = 20 + 5 // the backend server's rate and the slack
+	for _, entries := range []int{1, 3, 7, 17, 39, 100} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			sent := map[string]int{}
+			for index := range entries {
+				p := newPool(Config{ColdSlack: 5}, 6, func(v *follower.View) {
+					v.Entries, v.EntryIndex = entries, index
+					for i := range v.Servers {
+						v.Servers[i].ColdUntil, v.Servers[i].Slots = start.Add(time.Minute), 1000
+					}
+				})
+				for i := range 1000 {
+					now := start.Add(time.Duration(i) * time.Millisecond)
+					if a, ok := p.Submit(now, request(1, now, time.Minute)).(Assign); ok {
+						sent[a.Server.ID]++
+					}
+				}
+			}
+			for id, n := range sent {
+				if n > limit || n < limit/2 {
+					t.Errorf("%s: %d requests in a second, want %d to %d", id, n, limit/2, limit)
+				}
+			}
+			if len(sent) != 6 {
+				t.Errorf("%d of 6 cold backend servers got requests", len(sent))
+			}
+		})
+	}
+}
+
 // TestAvoid simulates a backend server that hangs and recovers: it gets one
 // request at a time until it answers.
 func TestAvoid(t *testing.T) {
 	p := newPool(Config{}, 1, nil)
 	p.Submit(start, request(1, start, time.Second))
-	p.Done(start, "pool", "s0", NoAnswer, 0, time.Second)
+	p.Done(start, "pool", "s0", 1, NoAnswer, 0, time.Second)
 	now := start.Add(minAvoidTime)
 	got := []string{kindOf(p.Submit(now, request(1, now, time.Second))), kindOf(p.Submit(now, request(1, now, time.Second)))}
-	p.Done(now, "pool", "s0", Answered, time.Millisecond, time.Millisecond)
+	p.Done(now, "pool", "s0", 1, Answered, time.Millisecond, time.Millisecond)
 	got = append(got, kindOf(p.Submit(now, request(1, now, time.Second))), kindOf(p.Submit(now, request(1, now, time.Second))))
 	if diff := cmp.Diff([]string{"assign", "refuse all_avoided", "assign", "assign"}, got); diff != "" {
 		t.Error(diff)
@@ -234,7 +271,7 @@
 		}
 		got[a.Server.ID]++
 		took := map[string]time.Duration{"s0": 300 * time.Millisecond, "s1": 30 * time.Millisecond}[a.Server.ID]
-		p.Done(now, "pool", a.Server.ID, Answered, took, took)
+		p.Done(now, "pool", a.Server.ID, 1, Answered, took, took)
 	}
 	if got["s0"] > 20 {
 		t.Errorf("the slow backend server got %d of 200 requests, want at most 20", got["s0"])
@@ -261,3 +298,27 @@
 		t.Error(diff)
 	}
 }
+
+// TestRestartedServer guards against requests to an earlier incarnation of a
+// backend server being subtracted from those of the new one.
+func TestRestartedServer(t *testing.T) {
+	p := newPool(Config{}, 1, nil)
+	for range 2 {
+		if _, ok := p.Submit(start, request(1, start, time.Second)).(Assign); !ok {
+			t.Fatal("a request to an idle backend server was not assigned")
+		}
+	}
+	p.Update(start, view(1, func(v *follower.View) { v.Servers[0].StartedMS = 2 }))
+	if _, ok := p.Submit(start, request(1, start, time.Second)).(Assign); !ok {
+		t.Fatal("a request to a restarted backend server was not assigned")
+	}
+	for range 2 {
+		p.Done(start, "pool", "s0", 1, NoAnswer, 0, 0)
+	}
+	if diff := cmp.Diff(map[string]int{"s0": 1}, p.InFlight()); diff != "" {
+		t.Error(diff)
+	}
+	if _, ok := p.Submit(start, request(1, start, time.Second)).(Assign); !ok {
+		t.Error("the new incarnation is avoided for failures of the earlier one")
+	}
+}
--- a/internal/coordination/pool/server.go
+++ b/internal/coordination/pool/server.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"oleanderrack.example/oleanderrack/internal/coordination/follower"
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
@@ -156,9 +158,18 @@
 }
 
 // coldLimit is this entry's part of the requests per second that a cold backend
-// server can take.
-func (p *Pool) coldLimit(perSecond float64) int {
-	return max(1, int(coldMargin*(perSecond+p.cfg.ColdSlack)/float64(p.entries)))
+// server can take. The parts of all entries add up to the limit: what does not
+// divide evenly goes to entries that differ from one backend server to the next,
+// so that none is without cold backend servers where there are more entries than
+// requests.
+func (p *Pool) coldLimit(perSecond float64, id string) int {
+	limit := int(coldMargin * (perSecond + p.cfg.ColdSlack))
+	turn := (uint64(p.entryIndex) + xxhash.Sum64String(id)) % uint64(p.entries)
+	part := limit / p.entries
+	if turn < uint64(limit%p.entries) {
+		part++
+	}
+	return part
 }
 
 // choose returns Assign, Refuse, or Wait if there is no capacity now. It does
@@ -226,7 +237,7 @@
 	case p.entries > 1 && float64(running) >= contendedShare*float64(slots) && s.inFlight >= s.quota:
 		return slots, false
 	}
-	return slots, running < slots && (!cold || s.hasColdCapacity(now, p.coldLimit(svc.spec.ColdRequestsPerSecond)))
+	return slots, running < slots && (!cold || s.hasColdCapacity(now, p.coldLimit(svc.spec.ColdRequestsPerSecond, s.info.ID)))
 }
 
 // candidate is a backend server that can take a request.
--- a/internal/coordination/pool/service.go
+++ b/internal/coordination/pool/service.go
@@ -37,6 +37,7 @@
 	meanTimeToFirst time.Duration // mean time from sending to the first answer
 	meanHeld        time.Duration
 	onTimeArrivals  window // new requests that could be served on time
+	lateStarts      window // requests that started too late to be served on time
 	firstAttempts   window
 	retries         window
 }
@@ -162,13 +163,55 @@
 // expectedHold is how long a backend server holds a request: the mean of those
 // that have ended, or the time given by the catalog as long as there is none.
 func (s *service) expectedHold() time.Duration {
-	e := s.spec.Engine
-	if s.meanHeld > 0 || e == nil || e.StepsPerPass == 0 {
+	if s.meanHeld > 0 {
 		return s.meanHeld
 	}
+	return s.catalogHold()
+}
+
+// catalogHold is how long a request is held according to the catalog, or 0 if it
+// does not say so.
+func (s *service) catalogHold() time.Duration {
+	e := s.spec.Engine
+	if e == nil || e.StepsPerPass == 0 {
+		return 0
+	}
 	return time.Duration(e.MeanAnswerTokens/e.StepsPerPass) * passTime(e, e.Slots)
 }
 
+// mayStartLate reports whether a request that can no longer be served on time may
+// take a free slot. The slots that on-time requests need at their current rate are
+// kept for them: otherwise the backlog of an interruption takes every slot when
+// service resumes, and all requests after it are late as well.
+func (p *Pool) mayStartLate(now time.Time, svc *service, r *Request) bool {
+	slots, hold := p.capacity(now, svc, r.TargetGap)
+	// Within the time that a request is held, every slot becomes free once.
+	needed := float64(svc.onTimeArrivals.sum(now, arrivalWindow)) / arrivalWindow.Seconds() * hold.Seconds()
+	spare := float64(slots)/float64(p.entries) - needed
+	return float64(svc.lateStarts.sum(now, hold)) < spare
+}
+
+// capacity returns the number of requests that the backend servers of a service
+// process at once, for all entries, and how long each request is held.
+func (p *Pool) capacity(now time.Time, svc *service, targetGap time.Duration) (slots int, hold time.Duration) {
+	slowness := 0.0
+	for _, s := range svc.servers {
+		if s.info.Draining || s.misdirected || p.drained[s.info.FailureDomain] {
+			continue
+		}
+		n := s.slots(svc)
+		if g := p.groups[s.info.Group]; g != nil {
+			if g.broken {
+				continue
+			}
+			n = g.limit(now, svc.spec.Engine, n, targetGap)
+			slowness = max(slowness, g.assumedSlowness(now))
+		}
+		slots += n
+	}
+	return slots, max(svc.expectedHold(), time.Duration(slowness*float64(svc.catalogHold())))
+}
+
 func seconds(s float64) time.Duration {
 	return time.Duration(min(s*float64(time.Second), float64(unservableWait)))
 }
--- a/internal/coordination/registrar/follow.go
+++ b/internal/coordination/registrar/follow.go
@@ -106,6 +106,7 @@
 		Members:        r.supervisor.status().Members,
 		Leader:         r.supervisor.status().LeaderAddress,
 		Entries:        uint32(len(r.entries)),
+		EntryIndex:     r.entryIndex(req.GetNode().GetId()),
 		Loads:          r.peerLoads(req.GetNode().GetId()),
 		// Within an election timeout of losing the majority, a leader steps down
 		// and a follower clears its leader.
@@ -120,6 +121,18 @@
 	return res
 }
 
+// entryIndex returns the position of an entry among all entries in the order of
+// their ids. The caller holds r.mu.
+func (r *Registrar) entryIndex(id string) uint32 {
+	index := uint32(0)
+	for other := range r.entries {
+		if other < id {
+			index++
+		}
+	}
+	return index
+}
+
 // peerLoads returns the requests that all entries except one have in flight,
 // summed up by backend server.
 func (r *Registrar) peerLoads(except string) []*peer.ServerLoad {
