pool, gateway, follower, ranks, platform: fewer bytes between failure domains, and no work given up for silence under load

Cause, silence: an attempt that was silent for 2.5 target latencies was cancelled although no other backend server had room, so the work was given up, and backend servers that go on with cancelled requests filled up unseen: entries counted one or two there when it rejected as full. Cause, changes of large groups: a hold waited for a round in which all 96 ranks answered. Ruled out: loads that are as fresh as before; the sums were refreshed by any of ten registrars and are now up to 0.2 s older.

--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -40,6 +40,9 @@
 	// followWait is how long a registrar holds a call while there is nothing new.
 	// Loads are sent with each call, so this is also their age.
 	followWait = 400 * time.Millisecond
+	// loadWait is the same for the registrar that sends the loads of other entries.
+	// It is usually in the same failure domain, where bytes cost little.
+	loadWait = 200 * time.Millisecond
 	// callTimeout is the time limit of a call beyond followWait. A call on a
 	// connection that hangs is aborted well within the gateway's MaxStaleness, which
 	// is some seconds.
@@ -117,6 +120,8 @@
 	drainIndex        uint64
 	registrars        map[string]*registrar
 	members           []string
+	domains           map[string]string // failure domain of each member, by address
+	loadSource        string            // the registrar that sends the loads of other entries
 	firstAnswerAt     time.Time
 	peerLoads         map[string]uint32
 	peerLoadsAt       time.Time
@@ -207,11 +212,11 @@
 // follow calls one registrar until ctx ends.
 func (f *Follower) follow(ctx context.Context, address string, r *registrar) {
 	client := peer.NewDirectoryProtobufClient("http://"+address, f.cfg.Client)
-	req := &peer.FollowRequest{Node: f.cfg.Node, WaitMs: uint32(followWait.Milliseconds())}
+	req := &peer.FollowRequest{Node: f.cfg.Node}
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		req.CatalogVersion, req.DrainIndex = f.currentVersions()
-		req.Loads = f.ownLoads()
+		f.setLoadExchange(address, req)
 		callCtx, cancel := context.WithTimeout(ctx, followWait+callTimeout)
 		begin := time.Now()
 		res, err := client.Follow(callCtx, req)
@@ -227,10 +232,49 @@
 		}
 		backoff = minBackoff
 		req.Epoch, req.Since = res.Epoch, res.Version
-		f.merge(address, r, res, begin)
+		f.merge(address, r, res, begin, !req.WithoutLoads)
 	}
 }
 
+// setLoadExchange sets the loads that a registrar is sent and whether it sends
+// those of other entries. Entries report to the members of the group only, which
+// need not be reached across failure domains, and one of them answers with the sums.
+func (f *Follower) setLoadExchange(address string, req *peer.FollowRequest) {
+	f.mu.Lock()
+	f.loadSource = chooseLoadSource(f.loadSource, f.members, f.domains, f.cfg.Node.GetFailureDomain(), func(member string) bool {
+		return f.registrars[member] != nil && f.registrars[member].reachable
+	})
+	source, isMember := f.loadSource, len(f.members) == 0 || slices.Contains(f.members, address)
+	f.mu.Unlock()
+	req.Loads = nil
+	if isMember {
+		req.Loads = f.ownLoads()
+	}
+	req.WithoutLoads = source != "" && source != address || !isMember
+	wait := followWait
+	if source == address {
+		wait = loadWait
+	}
+	req.WaitMs = uint32(wait.Milliseconds())
+}
+
+// chooseLoadSource returns the member that sends the loads of other entries, or ""
+// if none can be reached: one in the entry's own failure domain, else the current
+// one, else any.
+func chooseLoadSource(current string, members []string, domains map[string]string, own string, reachable func(string) bool) string {
+	chosen := ""
+	for _, m := range members {
+		switch {
+		case !reachable(m):
+		case domains[m] == own:
+			return m
+		case chosen == "" || m == current:
+			chosen = m
+		}
+	}
+	return chosen
+}
+
 // currentVersions returns the version of the catalog and the index of the
 // drained failure domains that are in use.
 func (f *Follower) currentVersions() (version, drainIndex uint64) {
@@ -261,7 +305,7 @@
 }
 
 // merge applies the response of a registrar.
-func (f *Follower) merge(address string, r *registrar, res *peer.FollowResponse, begin time.Time) {
+func (f *Follower) merge(address string, r *registrar, res *peer.FollowResponse, begin time.Time, withLoads bool) {
 	index := f.decode(address, res)
 	now := time.Now()
 	f.mu.Lock()
@@ -290,11 +334,14 @@
 	for _, a := range res.Announcements {
 		changed = f.table.Apply(now, a) || changed
 	}
-	f.members = f.members[:0:0]
+	f.members, f.domains = f.members[:0:0], make(map[string]string, len(res.Members))
 	for _, m := range res.Members {
 		f.members = append(f.members, m.Address)
+		f.domains[m.Address] = m.FailureDomain
+	}
+	if withLoads && f.knowsEntries(r) {
+		f.mergeLoads(now, res)
 	}
-	f.mergeLoads(now, res)
 	if res.HasQuorum && begin.After(f.lastQuorumContact) {
 		f.lastQuorumContact = begin
 	}
@@ -304,6 +351,17 @@
 	f.publishFirst()
 }
 
+// knowsEntries reports whether a registrar knows most of the entries. One that has
+// just started has the loads of few. The caller holds f.mu.
+func (f *Follower) knowsEntries(r *registrar) bool {
+	for _, other := range f.registrars {
+		if other.reachable && other.entries >= 2*r.entries {
+			return false
+		}
+	}
+	return true
+}
+
 func (f *Follower) mergeLoads(now time.Time, res *peer.FollowResponse) {
 	f.peerLoads = make(map[string]uint32, len(res.Loads))
 	for _, l := range res.Loads {
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,6 +30,9 @@
 	// after which an attempt times out: in a burst all backend servers are slow,
 	// and a retry only adds load.
 	meanTimeoutFactor = 4
+	// retryCheckInterval is the time between two checks whether a request to a silent
+	// backend server could be retried. Free slots of peers are known 0.2 s late.
+	retryCheckInterval = 200 * time.Millisecond
 	// maxBufferedResponse is the size from which on an answer is forwarded while it
 	// is read instead of buffered until it is complete. If it ends early, the
 	// caller's connection is aborted.
@@ -46,9 +51,11 @@
 	started     time.Time
 	timeToFirst time.Duration
 	lastEvent   time.Time
-	// timer cancels the attempt if no data arrives in time; nil if the request
-	// could not be retried.
+	// timer calls expire if no data arrives in time; nil if the request could not
+	// be retried.
 	timer *time.Timer
+	// resets counts how often data has restarted the timer.
+	resets atomic.Int64
 }
 
 // bufferedResponse is a response that was read completely.
@@ -65,7 +72,9 @@
 	defer cancel(nil)
 	a := &attempt{call: c, assigned: to, ctx: ctx, cancel: cancel, started: time.Now()}
 	if timeout := c.attemptTimeout(); timeout > 0 {
-		a.timer = time.AfterFunc(timeout, func() { cancel(errAttemptTimeout) })
+		retry := c.poolRequest(a.started)
+		retry.Tried = append(slices.Clone(c.tried), to.Server.ID)
+		a.timer = time.AfterFunc(timeout, func() { a.expire(retry) })
 		defer a.timer.Stop()
 	}
 	c.sends++
@@ -77,6 +86,23 @@
 	return a.handleResponse(res)
 }
 
+// expire cancels an attempt that has been silent for too long, as soon as another
+// backend server would take the request.
+func (a *attempt) expire(retry *pool.Request) {
+	resets := a.resets.Load()
+	for !a.call.gateway.canRetry(retry) {
+		select {
+		case <-a.ctx.Done():
+			return
+		case <-time.After(retryCheckInterval):
+		}
+		if a.resets.Load() != resets {
+			return
+		}
+	}
+	a.cancel(errAttemptTimeout)
+}
+
 // attemptTimeout returns the time without data after which the request is retried
 // at another backend server, or 0 if it must not be retried.
 func (c *call) attemptTimeout() time.Duration {
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -276,6 +276,13 @@
 	return nil
 }
 
+// canRetry reports whether another backend server would take a request now.
+func (g *Gateway) canRetry(r *pool.Request) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pool.CanRetry(time.Now(), r)
+}
+
 // finishAttempt reports the end of an attempt to the pool.
 func (g *Gateway) finishAttempt(service string, to follower.Server, result pool.Result, timeToFirst, held time.Duration) {
 	g.mu.Lock()
--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -84,6 +84,41 @@
 	}
 }
 
+// TestSilentAlone guards against the work of a slow but sound backend server being
+// given up although no other one can take it over.
+func TestSilentAlone(t *testing.T) {
+	const silence = 600 * time.Millisecond // more than an attempt may be silent
+	tests := map[string]struct {
+		path string
+		slow script
+		want string
+	}{
+		"before an answer": {"/again/1", func(conn net.Conn, r *http.Request) bool {
+			time.Sleep(silence)
+			return ok(conn, r)
+		}, "done"},
+		"before a stream": {"/stream/1", func(conn net.Conn, r *http.Request) bool {
+			time.Sleep(silence)
+			return events(conn, r, 2, true, "")
+		}, "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"},
+		"within a stream": {"/stream/1", func(conn net.Conn, r *http.Request) bool {
+			events(conn, r, 1, false, "")
+			time.Sleep(silence)
+			fmt.Fprint(conn, "10\r\nid: 2\ndata: e2\n\n\r\n0\r\n\r\n")
+			return true
+		}, "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			server := newFakeServer(t, test.slow)
+			status, body, _ := newTestGateway(t, server).send(t, "GET", test.path, "")
+			if diff := cmp.Diff([]any{200, test.want, 1}, []any{status, body, len(server.requests())}); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
 // TestAgain guards against an idempotent request that fails although another
 // backend server could answer it, and against more attempts than its route
 // allows.
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -85,6 +85,7 @@
 		return nil
 	}
 	if a.timer != nil {
+		a.resets.Add(1)
 		a.timer.Reset(c.gapTimeout())
 	}
 	a.writeHeader(res, now)
--- a/internal/coordination/pool/herd_test.go
+++ b/internal/coordination/pool/herd_test.go
@@ -26,11 +26,13 @@
 // simulation runs eight entries that receive each other's counts 0.4 s late.
 type simulation struct {
 	random       *rand.Rand
+	domains      int
 	pools        []*Pool
 	reported     [][]map[string]int // by time, then entry
 	running      []simRequest
 	serverCounts map[string]int
 	assigned     int
+	near         int // requests assigned in the failure domain of their entry
 	overfull     int // requests assigned to a backend server without a free slot
 }
 
@@ -40,15 +42,20 @@
 	ends  time.Time
 }
 
-func newSimulation() *simulation {
+// simDomains are the failure domains of entries and backend servers, in turn.
+var simDomains = []string{"fes", "meknes", "ifrane", "sefrou"}
+
+// newSimulation returns a simulation whose hosts are in the first domains of
+// simDomains.
+func newSimulation(domains int) *simulation {
 	v := &follower.View{Drained: map[string]bool{}, Entries: simEntries}
 	v.Index = catalog.NewIndex(catalog.Catalog{Version: 1, Services: []catalog.Service{{Name: "pool"}}})
 	for i := range simServers {
-		v.Servers = append(v.Servers, follower.Server{ID: fmt.Sprintf("s%d", i), Service: "pool", FailureDomain: "fes", Slots: simSlots})
+		v.Servers = append(v.Servers, follower.Server{ID: fmt.Sprintf("s%d", i), Service: "pool", FailureDomain: simDomains[i%domains], Slots: simSlots})
 	}
-	s := &simulation{random: rand.New(rand.NewPCG(1, 2)), serverCounts: map[string]int{}}
-	for range simEntries {
-		p := New(Config{FailureDomain: "fes", Random: s.random})
+	s := &simulation{domains: domains, random: rand.New(rand.NewPCG(1, 2)), serverCounts: map[string]int{}}
+	for i := range simEntries {
+		p := New(Config{FailureDomain: simDomains[i%domains], Random: s.random})
 		p.Update(start, v)
 		p.SetPeerLoads(start, map[string]uint32{})
 		s.pools = append(s.pools, p)
@@ -83,6 +90,9 @@
 		return
 	}
 	s.assigned++
+	if a.Server.FailureDomain == simDomains[entry%s.domains] {
+		s.near++
+	}
 	s.serverCounts[a.Server.ID]++
 	if s.serverCounts[a.Server.ID] > simSlots {
 		s.overfull++
@@ -132,7 +142,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			s := newSimulation()
+			s := newSimulation(1)
 			for at := time.Duration(0); at < simLength; at += simTick {
 				if at%exchangeTick == 0 {
 					s.exchange(start.Add(at))
@@ -151,3 +161,25 @@
 		})
 	}
 }
+
+// TestNearFirst guards against requests that cross failure domains although there
+// are free slots near: at half load, four of five should stay in their own domain
+// while 95 in 100 find a free slot.
+func TestNearFirst(t *testing.T) {
+	const capacity = simServers * simSlots / 2.3 // requests a second
+	s := newSimulation(len(simDomains))
+	for at := time.Duration(0); at < simLength; at += simTick {
+		if at%exchangeTick == 0 {
+			s.exchange(start.Add(at))
+		}
+		s.step(start.Add(at), capacity/2)
+	}
+	near, full := float64(s.near)/float64(s.assigned), float64(s.overfull)/float64(s.assigned)
+	t.Logf("%.3f in the own failure domain, %.1f %% found no free slot", near, 100*full)
+	if near < 0.8 {
+		t.Errorf("%.3f of the requests stayed in their failure domain, want 0.8", near)
+	}
+	if full > 0.05 {
+		t.Errorf("%.1f %% of the requests found no free slot, want 5 %% at most", 100*full)
+	}
+}
--- a/internal/coordination/pool/pool.go
+++ b/internal/coordination/pool/pool.go
@@ -151,10 +151,20 @@
 }
 
 // SetServerLoad sets the number of requests that a backend server reports. It
-// is newer than the peer loads.
+// is newer than the peer loads, and complete: some backend servers go on with
+// requests that entries have given up, and do not count any more. One with more
+// requests than slots gets no new ones until these should have started.
 func (p *Pool) SetServerLoad(now time.Time, id string, requests int) {
-	if s := p.servers[id]; s != nil {
-		s.peerLoad, s.loadReportedAt = max(0, requests-s.inFlight), now
+	s := p.servers[id]
+	if s == nil {
+		return
+	}
+	s.peerLoad, s.loadReportedAt = max(0, requests-s.inFlight), now
+	svc := p.service(s.info.Service)
+	slots := s.slots(svc)
+	s.fullUntil = time.Time{}
+	if excess := requests - slots; excess > 0 {
+		s.fullUntil = now.Add(min(maxFullTime, time.Duration(excess)*svc.expectedHold()/time.Duration(slots)))
 	}
 }
 
@@ -200,6 +210,22 @@
 	return Wait{Ahead: ahead, ExpectedWait: expected}
 }
 
+// CanRetry reports whether a request that waits for a silent backend server would
+// get another one now. Otherwise its attempt is worth more than its place in a
+// queue: silence under load is mostly that of a backend server that is still busy.
+func (p *Pool) CanRetry(now time.Time, r *Request) bool {
+	svc := p.service(r.Service)
+	if !svc.mayRetry(now, p.cfg, p.entries) {
+		return false
+	}
+	r.updateLate(now)
+	if svc.ahead(r) > 0 || (r.late && !p.mayStartLate(now, svc, r)) {
+		return false
+	}
+	_, ok := p.choose(now, svc, r).(Assign)
+	return ok
+}
+
 // CancelWait removes a request that its caller has abandoned from the queue.
 func (p *Pool) CancelWait(r *Request) { p.service(r.Service).remove(r) }
 
--- a/internal/coordination/pool/pool_test.go
+++ b/internal/coordination/pool/pool_test.go
@@ -322,3 +322,37 @@
 		t.Error("the new incarnation is avoided for failures of the earlier one")
 	}
 }
+
+// TestFullServer guards against requests for a backend server that has reported
+// more requests than it has slots: peers do not count those that they gave up.
+func TestFullServer(t *testing.T) {
+	const held = time.Second
+	tests := map[string]struct {
+		report func(p *Pool)
+		after  time.Duration
+		want   string
+	}{
+		"eight wait for four slots":      {func(p *Pool) { p.SetServerLoad(start, "s0", 12) }, time.Second, "wait"},
+		"they should have started":       {func(p *Pool) { p.SetServerLoad(start, "s0", 12) }, 2 * time.Second, "assign"},
+		"none waits":                     {func(p *Pool) { p.SetServerLoad(start, "s0", 4) }, time.Second, "assign"},
+		"a later report has room":        {func(p *Pool) { p.SetServerLoad(start, "s0", 12); p.SetServerLoad(start, "s0", 1) }, 0, "assign"},
+		"it has just rejected a request": {func(p *Pool) { p.Done(start, "pool", "s0", 1, Rejected, 0, 0) }, 100 * time.Millisecond, "wait"},
+		"a rejection is some time ago":   {func(p *Pool) { p.Done(start, "pool", "s0", 1, Rejected, 0, 0) }, time.Second, "assign"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(Config{}, 1, nil)
+			for range 100 {
+				p.Submit(start, request(1, start, time.Second))
+				p.Done(start, "pool", "s0", 1, Answered, held, held)
+			}
+			p.Submit(start, request(1, start, time.Second))
+			test.report(p)
+			now := start.Add(test.after)
+			p.SetPeerLoads(now, map[string]uint32{})
+			if diff := cmp.Diff(test.want, kindOf(p.Submit(now, request(1, now, time.Minute)))); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/internal/coordination/pool/server.go
+++ b/internal/coordination/pool/server.go
@@ -52,6 +52,10 @@
 	// loadCost is the additional cost of a full backend server over an idle one,
 	// as a factor.
 	loadCost = 2.0
+	// nearFill is the share of its slots by which a backend server in the own failure
+	// domain may be fuller than one in another before a request crosses: it waits
+	// longer there, but a hundred bytes an event need not cross.
+	nearFill = 0.25
 	// ownWeight is the weight of this entry's own requests relative to the peer
 	// load, which is known 0.4 to 0.8 s late: in TestHerd, backend servers exceed
 	// their slots 4 % of the time with 1, 0.9 % with 5.
@@ -70,6 +74,10 @@
 	// serverLoadMaxAge is how long the load that a backend server reports takes
 	// precedence over the peer loads, which are up to 0.8 s old.
 	serverLoadMaxAge = 300 * time.Millisecond
+	// maxFullTime bounds how long a backend server counts as full by its report, and
+	// minFullTime is how long one counts as full that has rejected a request.
+	maxFullTime = 2 * time.Second
+	minFullTime = 250 * time.Millisecond
 )
 
 // server is one backend server.
@@ -87,6 +95,7 @@
 	reportedColdUntil time.Time
 	coldSends         []time.Time
 	loadReportedAt    time.Time
+	fullUntil         time.Time // when the requests that wait there should have started
 	// quota is the number of requests that this entry may have there until the
 	// next exchange, so that entries do not all fill the same free slots.
 	quota int
@@ -112,6 +121,9 @@
 		s.latencyUpdatedAt = now
 	case Rejected:
 		s.misses = 0
+		if until := now.Add(minFullTime); s.fullUntil.Before(until) {
+			s.fullUntil = until
+		}
 	case Failed:
 		s.misses = 0
 		s.updateFailureShare(now, 1)
@@ -231,6 +243,8 @@
 	}
 	running := s.inFlight + s.peerLoad
 	switch {
+	case now.Before(s.fullUntil):
+		return slots, false
 	case !p.peerLoadsKnown:
 		// Other entries may take their even share too.
 		slots = (slots + p.entries - 1) / p.entries
@@ -243,14 +257,16 @@
 // candidate is a backend server that can take a request.
 type candidate struct {
 	// idle is its cost without other requests.
-	idle   float64
+	idle float64
+	// fill is the share of its slots that are taken.
+	fill   float64
 	assign Assign
 }
 
 func (p *Pool) candidate(now time.Time, svc *service, s *server, slots int, cold bool) candidate {
 	idle := p.idleCost(now, svc, s, cold)
 	load := float64(ownWeight*s.inFlight+s.peerLoad) / float64(slots)
-	return candidate{idle: idle, assign: Assign{
+	return candidate{idle: idle, fill: float64(s.inFlight+s.peerLoad) / float64(slots), assign: Assign{
 		Server: s.info, Running: s.inFlight + s.peerLoad, PeerLoad: s.peerLoad, Cold: cold,
 		Cost: time.Duration(idle * (1 + loadCost*load)),
 	}}
@@ -264,10 +280,37 @@
 	for _, c := range candidates {
 		least = min(least, c.idle)
 	}
-	eligible := slices.DeleteFunc(candidates, func(c candidate) bool { return c.idle > similarCostFactor*least })
-	chosen := eligible[p.cfg.Random.IntN(len(eligible))].assign
+	// Of hundreds of backend servers few are near, so that a sample of all would
+	// mostly be far away.
+	var near, far []candidate
+	for _, c := range candidates {
+		if c.idle > similarCostFactor*least {
+			continue
+		}
+		if c.assign.Server.FailureDomain == p.cfg.FailureDomain {
+			near = append(near, c)
+		} else {
+			far = append(far, c)
+		}
+	}
+	switch {
+	case len(near) == 0:
+		return p.cheapestSampled(far).assign
+	case len(far) == 0:
+		return p.cheapestSampled(near).assign
+	}
+	nearest, other := p.cheapestSampled(near), p.cheapestSampled(far)
+	if nearest.idle*(1+loadCost*nearest.fill) > other.idle*(1+loadCost*(other.fill+nearFill)) {
+		return other.assign
+	}
+	return nearest.assign
+}
+
+// cheapestSampled returns the cheapest of a few candidates.
+func (p *Pool) cheapestSampled(candidates []candidate) candidate {
+	chosen := candidates[p.cfg.Random.IntN(len(candidates))]
 	for range sampledServers - 1 {
-		if other := eligible[p.cfg.Random.IntN(len(eligible))].assign; other.Cost < chosen.Cost {
+		if other := candidates[p.cfg.Random.IntN(len(candidates))]; other.assign.Cost < chosen.assign.Cost {
 			chosen = other
 		}
 	}
--- a/internal/coordination/ranks/change.go
+++ b/internal/coordination/ranks/change.go
@@ -19,13 +19,16 @@
 	// copyRetryDelay is the time after which an unanswered prepare order is
 	// repeated. If both arrive, the rank refuses the second.
 	copyRetryDelay = 100 * time.Millisecond
-	// stableTime is how long all orders must have been answered before a group is
-	// held. A hold lasts until all ranks are armed, so unanswered orders prolong
-	// it. While a group waits, its passes are slow.
+	// stableTime is the time between two probes of a rank that has left several
+	// orders in a row unanswered. A hold lasts until all ranks are armed, so such
+	// a rank would prolong it. While a group waits, its passes are slow.
 	stableTime = 300 * time.Millisecond
-	// probeValidity is how long the answers to a probe are valid. It is short
-	// because the hold follows at once.
-	probeValidity = 150 * time.Millisecond
+	// probeValidity is how long the answer of a rank to a probe is valid. Within it,
+	// the probes of other ranks can be repeated twice.
+	probeValidity = 300 * time.Millisecond
+	// maxMisses is the number of orders in a row that a rank may leave unanswered
+	// before it is probed less often.
+	maxMisses = 2
 )
 
 // Stage is the progress of a change.
@@ -77,15 +80,16 @@
 	holdingRank  int // index of the rank that holds the group, or -1
 	heldPass     uint64
 	// armedPass is the pass for which a rank is armed, or 0.
-	armedPass      uint64
-	lastUnanswered time.Time // of the last unanswered order
-	lastProbe      time.Time // of the last probe of all ranks
+	armedPass uint64
 }
 
 type rankState struct {
 	prepared    bool
 	armed       bool
 	copyOrdered time.Time // the prepare order is repeated copyTimeout later
+	answered    time.Time // when it last answered a probe
+	probed      time.Time // when it was last probed
+	misses      int       // orders in a row that it has not answered
 }
 
 // NewChange returns a change of a group with size ranks.
@@ -138,12 +142,12 @@
 	case c.holdingRank < 0 && c.armedPass > 0:
 		return c.resumeArming()
 	case c.holdingRank < 0:
-		if now.Sub(c.lastUnanswered) < stableTime {
-			return nil
-		}
 		c.stage = Holding
-		if now.Sub(c.lastProbe) >= probeValidity {
-			return c.probe(now)
+		if orders := c.probe(now); len(orders) > 0 {
+			return orders
+		}
+		if !c.all(func(s rankState) bool { return s.answersOrders(now) }) {
+			return nil
 		}
 		return []RankOrder{{Rank: 0, Order: Hold{Pass: c.latestPass + holdLead + c.refusedHolds*holdLeadStep}}}
 	case !c.all(func(s rankState) bool { return s.armed }):
@@ -154,17 +158,29 @@
 	return []RankOrder{{Rank: c.holdingRank, Order: Go{Pass: c.heldPass}}}
 }
 
-// probe returns a probe for every rank. A group with a rank that does not answer
-// orders would stay held until the rank answers.
+// probe returns a probe for each rank that has not answered one recently. A
+// group with a rank that does not answer would stay held until the rank answers.
+// Ranks that have answered are not probed again: in a group of a hundred there is
+// nearly always one that misses an order.
 func (c *Change) probe(now time.Time) []RankOrder {
-	c.lastProbe = now
-	orders := make([]RankOrder, len(c.ranks))
+	var orders []RankOrder
 	for i := range c.ranks {
-		orders[i] = RankOrder{Rank: i, Order: Probe{}}
+		s := &c.ranks[i]
+		if s.answersOrders(now) || (s.misses >= maxMisses && now.Sub(s.probed) < stableTime) {
+			continue
+		}
+		s.probed = now
+		orders = append(orders, RankOrder{Rank: i, Order: Probe{}})
 	}
 	return orders
 }
 
+// answersOrders reports whether the rank has answered a probe recently, and its
+// latest order.
+func (s rankState) answersOrders(now time.Time) bool {
+	return s.misses == 0 && now.Sub(s.answered) < probeValidity
+}
+
 // resumeArming continues a change of an earlier leader that has armed some ranks.
 // If all are armed, the group was released and has not reached the pass yet.
 func (c *Change) resumeArming() []RankOrder {
@@ -208,9 +224,15 @@
 func (c *Change) HandleResult(now time.Time, order RankOrder, result Result) {
 	s := &c.ranks[order.Rank]
 	if result == Unanswered {
-		c.lastUnanswered = now
+		s.misses++
+	} else {
+		s.misses = 0
 	}
 	switch o := order.Order.(type) {
+	case Probe:
+		if result != Unanswered {
+			s.answered = now
+		}
 	case Prepare:
 		switch result {
 		case Accepted:
--- a/internal/coordination/ranks/change_test.go
+++ b/internal/coordination/ranks/change_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -187,3 +188,44 @@
 	}
 	return c, version
 }
+
+// TestManyRanks guards against a change of a large group that waits until all ranks
+// answer the same round of orders: with 96 ranks that leave one order in twenty
+// unanswered, that takes a hundred rounds.
+func TestManyRanks(t *testing.T) {
+	const (
+		size  = 96
+		round = 100 * time.Millisecond
+		bound = 2 * time.Second
+	)
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		g := &simulatedGroup{epoch: 1, pass: 1, ranks: make([]simulatedRank, size)}
+		c := NewChange(1, Target{Version: 1, Map: Map{}}, size)
+		now := time.Unix(1000, 0)
+		end := now.Add(bound)
+		for c.Stage() != Switched && now.Before(end) {
+			c.Observe(g.reports())
+			for range maxOrderRounds {
+				answered := true
+				orders := c.Next(now)
+				for _, order := range orders {
+					result := Unanswered
+					if random.IntN(20) > 0 {
+						result = g.apply(order)
+					}
+					c.HandleResult(now, order, result)
+					answered = answered && result != Unanswered
+				}
+				if len(orders) == 0 || !answered {
+					break
+				}
+			}
+			now = now.Add(round)
+			g.advance()
+		}
+		if c.Stage() != Switched || g.violation != "" {
+			t.Errorf("seed %d: stage %v after %v, %s", seed, c.Stage(), bound, g.violation)
+		}
+	}
+}
--- a/internal/coordination/ranks/rebalancer_test.go
+++ b/internal/coordination/ranks/rebalancer_test.go
@@ -59,7 +59,7 @@
 	}
 	result := f.engine.apply(RankOrder{Rank: f.index(to), Order: order})
 	if _, ok := order.(Prepare); ok && f.index(to) == 2 {
-		result = Unanswered // restarts stableTime
+		result = Unanswered // although it is carried out
 	}
 	if f.engine.ranks[0].isHeld && f.held.IsZero() {
 		f.held = time.Now()
--- a/internal/coordination/registrar/follow.go
+++ b/internal/coordination/registrar/follow.go
@@ -107,11 +107,13 @@
 		Leader:         r.supervisor.status().LeaderAddress,
 		Entries:        uint32(len(r.entries)),
 		EntryIndex:     r.entryIndex(req.GetNode().GetId()),
-		Loads:          r.peerLoads(req.GetNode().GetId()),
 		// Within an election timeout of losing the majority, a leader steps down
 		// and a follower clears its leader.
 		HasQuorum: r.supervisor.status().Leader != 0 || time.Since(r.quorumAt) < quorumMaxAge,
 	}
+	if req.GetNode().GetRole() == peer.Role_ROLE_ENTRY && !req.WithoutLoads {
+		res.Loads = r.peerLoads(req.Node.Id)
+	}
 	if r.catalog.Version > req.CatalogVersion {
 		res.Catalog = r.catalog.Data
 	}
--- a/internal/coordination/registrar/registrar_test.go
+++ b/internal/coordination/registrar/registrar_test.go
@@ -364,3 +364,37 @@
 	}
 	g.replace(n, 2, "two")
 }
+
+// TestEntriesShare guards against entries that get the same position, which share
+// limits by it, and against loads being sent to callers that do not want them.
+func TestEntriesShare(t *testing.T) {
+	g := newGroup(t, 1)
+	n := g.any()
+	follow := func(id string, withoutLoads bool) *peer.FollowResponse {
+		res, err := n.Follow(t.Context(), &peer.FollowRequest{
+			Node: &peer.Node{Id: id, Role: peer.Role_ROLE_ENTRY}, WithoutLoads: withoutLoads,
+			Loads: []*peer.ServerLoad{{Id: "s0", InFlight: 2}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return res
+	}
+	for _, id := range []string{"c", "a", "b"} {
+		follow(id, false)
+	}
+	indexes, loads := map[string]uint32{}, map[string]uint32{}
+	for _, id := range []string{"a", "b", "c"} {
+		res := follow(id, id == "c")
+		indexes[id] = res.EntryIndex
+		for _, l := range res.Loads {
+			loads[id+" "+l.Id] = l.InFlight
+		}
+	}
+	if diff := cmp.Diff(map[string]uint32{"a": 0, "b": 1, "c": 2}, indexes); diff != "" {
+		t.Errorf("positions: %s", diff)
+	}
+	if diff := cmp.Diff(map[string]uint32{"a s0": 4, "b s0": 4}, loads); diff != "" {
+		t.Errorf("loads of other entries: %s", diff)
+	}
+}
