--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -26,6 +26,9 @@
 	// repeatable request is retried at another backend server.
 	targetTimeoutFactor = 2.5
 	gapTimeoutFactor    = 8
+	// defaultGapTimeout is the time without events after which a stream whose route
+	// names no target gap is resumed. Callers give up a stream after 2 s or more.
+	defaultGapTimeout = 2 * time.Second
 	// meanTimeoutFactor is the least multiple of the mean time to a first answer
 	// after which an attempt times out: in a burst all backend servers are slow,
 	// and a retry only adds load.
@@ -118,7 +121,12 @@
 
 // gapTimeout returns the time without events after which a stream is resumed at
 // another backend server.
-func (c *call) gapTimeout() time.Duration { return gapTimeoutFactor * c.route.TargetGap }
+func (c *call) gapTimeout() time.Duration {
+	if c.route.TargetGap == 0 {
+		return defaultGapTimeout
+	}
+	return gapTimeoutFactor * c.route.TargetGap
+}
 
 // timedOut reports whether the attempt was cancelled by its timer.
 func (a *attempt) timedOut() bool { return errors.Is(context.Cause(a.ctx), errAttemptTimeout) }
--- a/internal/coordination/gateway/fake_test.go
+++ b/internal/coordination/gateway/fake_test.go
@@ -142,10 +142,12 @@
 			Split: []catalog.Share{{Service: "pool", Weight: 1}},
 		}
 	}
+	withoutGap := route("no-gap", catalog.Streaming)
+	withoutGap.TargetGap = 0
 	v := &follower.View{Entries: 1, Drained: map[string]bool{}, Index: catalog.NewIndex(catalog.Catalog{
 		Version:        1,
 		Limits:         catalog.Limits{BodyBytes: maxTestBody},
-		Routes:         []catalog.Route{route("once", catalog.NonIdempotent), route("again", catalog.Idempotent), route("stream", catalog.Streaming)},
+		Routes:         []catalog.Route{route("once", catalog.NonIdempotent), route("again", catalog.Idempotent), route("stream", catalog.Streaming), withoutGap},
 		Services:       []catalog.Service{{Name: "pool"}},
 		ClientAccounts: []catalog.ClientAccount{{Name: "acme", Keys: []string{"key"}}},
 	})}
--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -311,6 +311,23 @@
 	}
 }
 
+// TestWithoutTargetGap guards against a sound stream being cut because its route
+// names no target gap.
+func TestWithoutTargetGap(t *testing.T) {
+	pausing := func(conn net.Conn, r *http.Request) bool {
+		events(conn, r, 1, false, "")
+		time.Sleep(200 * time.Millisecond)
+		fmt.Fprint(conn, "10\r\nid: 2\ndata: e2\n\n\r\n0\r\n\r\n")
+		return true
+	}
+	a, b := newFakeServer(t, pausing), newFakeServer(t, pausing)
+	status, body, _ := newTestGateway(t, a, b).send(t, "POST", "/no-gap/1", "")
+	sends := len(a.requests()) + len(b.requests())
+	if diff := cmp.Diff([]any{200, "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n", 1}, []any{status, body, sends}); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // TestForwarded guards against a request that is altered in transit, and against a
 // key that reaches a backend server.
 func TestForwarded(t *testing.T) {
