--- a/internal/coordination/pool/pool_test.go
+++ b/internal/coordination/pool/pool_test.go
@@ -356,3 +356,31 @@
 		})
 	}
 }
+
+// TestBusyEntry guards against a late request that waits although most slots are
+// free, at an entry that gets more than its even part of all requests.
+func TestBusyEntry(t *testing.T) {
+	p := newPool(Config{}, 8, func(v *follower.View) { v.Entries = 8 }) // 32 slots, an even part of 4
+	submit := func(now time.Time) Assign {
+		r := request(1, now, time.Second)
+		r.TargetStart = now.Add(200 * time.Millisecond)
+		a, ok := p.Submit(now, r).(Assign)
+		if !ok {
+			t.Fatal("a request on time was not assigned")
+		}
+		return a
+	}
+	p.SetPeerLoads(start, map[string]uint32{})
+	first := submit(start)
+	p.Done(start.Add(time.Second), "pool", first.Server.ID, 1, Answered, 50*time.Millisecond, time.Second)
+	busy := start.Add(3 * time.Second)
+	p.SetPeerLoads(busy, map[string]uint32{"s0": 1, "s1": 1, "s2": 1, "s3": 1})
+	for i := range 8 {
+		submit(busy.Add(time.Duration(i) * 100 * time.Millisecond))
+	}
+	late := request(1, busy, 2*time.Second)
+	late.TargetStart = busy.Add(200 * time.Millisecond)
+	if diff := cmp.Diff("assign", kindOf(p.Submit(busy.Add(time.Second), late))); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/coordination/pool/service.go
+++ b/internal/coordination/pool/service.go
@@ -20,6 +20,9 @@
 	maxQueue = 4096
 	// arrivalWindow is the window over which the rate of new requests is measured.
 	arrivalWindow = time.Second
+	// maxUnevenness bounds the part of the requests that an entry is taken to have,
+	// as a multiple of an even part. Callers are spread by a hash of a few hundred.
+	maxUnevenness = 3
 	// unservableWait bounds the expected wait. It is that of a request that is
 	// always overtaken by others, and of any request while the queue is full.
 	unservableWait = time.Hour
@@ -187,10 +190,22 @@
 	slots, hold := p.capacity(now, svc, r.TargetGap)
 	// Within the time that a request is held, every slot becomes free once.
 	needed := float64(svc.onTimeArrivals.sum(now, arrivalWindow)) / arrivalWindow.Seconds() * hold.Seconds()
-	spare := float64(slots)/float64(p.entries) - needed
+	spare := float64(slots)*svc.slotShare(p.entries) - needed
 	return float64(svc.lateStarts.sum(now, hold)) < spare
 }
 
+// slotShare is this entry's part of all slots: its part of the requests that are
+// running, which is not even, within bounds. Peer loads are known too late to
+// go without bounds, above all when service resumes.
+func (s *service) slotShare(entries int) float64 {
+	even := 1 / float64(entries)
+	own, all := s.running()
+	if all == 0 {
+		return even
+	}
+	return min(1, maxUnevenness*even, max(even, float64(own)/float64(all)))
+}
+
 // capacity returns the number of requests that the backend servers of a service
 // process at once, for all entries, and how long each request is held.
 func (p *Pool) capacity(now time.Time, svc *service, targetGap time.Duration) (slots int, hold time.Duration) {
