--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -237,8 +237,8 @@
 }
 
 // setLoadExchange sets the loads that a registrar is sent and whether it sends
-// those of other entries. Entries report to the members of the group only, which
-// need not be reached across failure domains, and one of them answers with the sums.
+// those of other entries. Entries report to the members of the group only, and one
+// of them, in their own failure domain if possible, answers with the sums.
 func (f *Follower) setLoadExchange(address string, req *peer.FollowRequest) {
 	f.mu.Lock()
 	f.loadSource = chooseLoadSource(f.loadSource, f.members, f.domains, f.cfg.Node.GetFailureDomain(), func(member string) bool {
--- a/internal/coordination/pool/server.go
+++ b/internal/coordination/pool/server.go
@@ -53,8 +53,8 @@
 	// as a factor.
 	loadCost = 2.0
 	// nearFill is the share of its slots by which a backend server in the own failure
-	// domain may be fuller than one in another before a request crosses: it waits
-	// longer there, but a hundred bytes an event need not cross.
+	// domain may be fuller than one in another before a request crosses: it may
+	// wait longer there, but its bytes stay in the domain.
 	nearFill = 0.25
 	// ownWeight is the weight of this entry's own requests relative to the peer
 	// load, which is known 0.4 to 0.8 s late: in TestHerd, backend servers exceed
