gateway: log the parts of prompts and which backend servers have ended

The logs could not tell a request that crashes backend servers from load or from a cascade of retries, since no line says what the requests at a server that ended had in common, nor whether it ended or only broke a connection, as ranks do whose group has stalled.

An attempt whose connection breaks before its answer has got far now checks once whether the server's host refuses connections, and the gateway logs "backend server has ended" with the parts of the request's prompt, the events so far and the load; attempts that fail also log the parts. Servers that announced that they leave are passed over. No routing or retry changes. The check is shared by the attempts of one incarnation and its connection is kept for use if it is accepted.

--- a/internal/coordination/gateway/admit.go
+++ b/internal/coordination/gateway/admit.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"oleanderrack.example/oleanderrack/internal/coordination/pool"
+	"oleanderrack.example/oleanderrack/internal/coordination/quarantine"
 	"oleanderrack.example/oleanderrack/internal/protocol/backend"
 	"oleanderrack.example/oleanderrack/internal/transport/hop"
 	"oleanderrack.example/oleanderrack/pkg/catalog"
@@ -63,6 +64,7 @@
 	if c.id == "" {
 		return fault.New(fault.BadRequest, "the request has no %s header", headerNames.RequestID)
 	}
+	c.parts = quarantine.Parts(strings.Join(c.request.Header.Values(headerNames.PromptParts), ","))
 	if err := c.setDeadline(headerNames.DeadlineRemaining); err != nil {
 		return err
 	}
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -59,6 +59,10 @@
 	timer *time.Timer
 	// resets counts how often data has restarted the timer.
 	resets atomic.Int64
+	// events is the number of events of the stream, and sound says that the
+	// request has got so far that it does not crash the backend server.
+	events int
+	sound  bool
 }
 
 // bufferedResponse is a response that was read completely.
@@ -154,6 +158,7 @@
 		a.assigned.Server.ID, result, held.Milliseconds(), detail, a.assigned.Running, a.assigned.PeerLoad, a.assigned.Cost.Milliseconds(), a.assigned.Cold,
 		a.started.Sub(a.assigned.Server.Received).Milliseconds()))
 	if result != pool.Answered {
+		c.attemptFailed = true
 		c.gateway.metrics.count("attempts_failed", result.String())
 	}
 }
@@ -180,6 +185,8 @@
 		result = pool.NoAnswer
 	case !reached:
 		result = pool.Unreachable
+	default:
+		a.checkEnded()
 	}
 	a.finish(result, err.Error())
 	return a.retryOrFail(reached, fault.Wrap(err, fault.BackendFailed, "backend server %s gave no answer", a.assigned.Server.ID))
@@ -247,6 +254,9 @@
 	response := &bufferedResponse{status: res.Status, header: res.Header, body: body}
 	if res.Status < 500 {
 		a.recordFirstAnswer()
+		if res.Status < 300 && !res.EndsWithConnection {
+			a.recordSound()
+		}
 		a.finish(pool.Answered, strconv.Itoa(res.Status))
 		return c.deliver(response)
 	}
@@ -272,6 +282,8 @@
 	result := pool.Failed
 	if a.timedOut() {
 		result = pool.NoAnswer
+	} else {
+		a.checkEnded()
 	}
 	a.finish(result, "answer incomplete: "+err.Error())
 	return a.retryOrFail(true, fault.Wrap(err, fault.BackendFailed, "the answer of backend server %s ended early", a.assigned.Server.ID))
--- a/internal/coordination/gateway/call.go
+++ b/internal/coordination/gateway/call.go
@@ -31,6 +31,7 @@
 	id             string
 	catalogVersion uint64
 	route          *catalog.Route
+	parts          []string // of its prompt, those that others may share
 	service        string
 	account        *catalog.ClientAccount
 	deadline       time.Time
@@ -38,15 +39,17 @@
 	hasBody        bool
 	reserved       int64
 
-	tried        []string
-	attemptLog   []string // one element for each attempt
-	sends        int
-	possibleRuns int // attempts that may have run
-	rejections   int
-	waited       time.Duration
-	timeToFirst  time.Duration
-	failure      *bufferedResponse // the latest 5xx response of a backend server
-	stream       stream
+	tried      []string
+	attemptLog []string // one element for each attempt
+	// attemptFailed is set once an attempt has not been answered.
+	attemptFailed bool
+	sends         int
+	possibleRuns  int // attempts that may have run
+	rejections    int
+	waited        time.Duration
+	timeToFirst   time.Duration
+	failure       *bufferedResponse // the latest 5xx response of a backend server
+	stream        stream
 }
 
 // outcome is how a call ended: delivered, refused, truncated or callerGone.
@@ -183,6 +186,9 @@
 		if c.stream.headerWritten {
 			list = append(list, "longest_gap_ms", c.stream.longestGap.Milliseconds())
 		}
+		if c.attemptFailed {
+			list = append(list, "prompt_parts", loggedParts(c.parts))
+		}
 		return append(list, more...)
 	}
 	log := c.gateway.log
--- /dev/null
+++ b/internal/coordination/gateway/ending.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"oleanderrack.example/oleanderrack/internal/coordination/quarantine"
+)
+
+const (
+	// soundEvents is the number of events after which the answer of a stream does
+	// not crash its backend server any more. One that does ends it within a pass
+	// or two.
+	soundEvents = 5
+	// endingMaxAge is how long the result of a check is used. Then another
+	// incarnation may have started at the address.
+	endingMaxAge = time.Second
+	// maxLoggedParts bounds the parts of a prompt in a log line.
+	maxLoggedParts = 16
+)
+
+// ending is a check whether a backend server has ended or has only broken a
+// connection.
+type ending struct {
+	begun time.Time
+	done  chan struct{} // closed with the result
+	ended bool
+}
+
+// checkEnded checks whether the backend server has ended, after an attempt whose
+// connection broke before its answer had got far.
+func (a *attempt) checkEnded() {
+	if a.sound || len(a.call.parts) == 0 {
+		return
+	}
+	g := a.call.gateway
+	server := quarantine.Incarnation{ID: a.assigned.Server.ID, StartedMS: a.assigned.Server.StartedMS}
+	if g.isLeaving(server) || !g.hasEnded(a.call.request.Context(), server, a.assigned.Server.Address) {
+		return
+	}
+	g.metrics.count("backend_servers_ended", "with_prompt")
+	g.log.Info("backend server has ended", "backend_server", server.ID, "born_ms", server.StartedMS, "request_id", a.call.id,
+		"prompt_parts", loggedParts(a.call.parts), "events", a.events, "running", a.assigned.Running, "cold", a.assigned.Cold, "held_ms", time.Since(a.started).Milliseconds())
+}
+
+// recordSound records that the answer has got far.
+func (a *attempt) recordSound() {
+	if a.sound {
+		return
+	}
+	a.sound = true
+}
+
+// isLeaving reports whether a backend server has announced that it will end.
+func (g *Gateway) isLeaving(server quarantine.Incarnation) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.view.Servers {
+		if s.ID == server.ID && s.StartedMS == server.StartedMS {
+			return s.Draining
+		}
+	}
+	return true
+}
+
+// hasEnded checks whether an incarnation has ended. Attempts whose connections break
+// at the same time share one check.
+func (g *Gateway) hasEnded(ctx context.Context, server quarantine.Incarnation, address string) bool {
+	now := time.Now()
+	g.mu.Lock()
+	check := g.endings[server]
+	if check == nil || now.Sub(check.begun) > endingMaxAge {
+		check = &ending{begun: now, done: make(chan struct{})}
+		g.endings[server] = check
+		g.mu.Unlock()
+		check.ended = g.client.HasEnded(context.WithoutCancel(ctx), address)
+		close(check.done)
+		return check.ended
+	}
+	g.mu.Unlock()
+	select {
+	case <-check.done:
+		return check.ended
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// forgetEndings removes results that are too old.
+func (g *Gateway) forgetEndings(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for server, check := range g.endings {
+		if now.Sub(check.begun) > endingMaxAge {
+			delete(g.endings, server)
+		}
+	}
+}
+
+func loggedParts(parts []string) []string { return parts[:min(len(parts), maxLoggedParts)] }
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -40,6 +40,7 @@
 
 	"oleanderrack.example/oleanderrack/internal/coordination/follower"
 	"oleanderrack.example/oleanderrack/internal/coordination/pool"
+	"oleanderrack.example/oleanderrack/internal/coordination/quarantine"
 	"oleanderrack.example/oleanderrack/internal/protocol/backend"
 	"oleanderrack.example/oleanderrack/internal/transport/logging"
 	"oleanderrack.example/oleanderrack/pkg/fault"
@@ -91,6 +92,8 @@
 	view      *follower.View
 	pool      *pool.Pool
 	firstView chan struct{} // closed with the first view
+	// endings holds the checks of backend servers whose connections broke.
+	endings   map[quarantine.Incarnation]*ending
 	waiting   map[*pool.Request]chan pool.Decision
 	successes uint64 // for sampling log lines
 	// loggedConditions holds the last logged state of each subject. targetGap is
@@ -113,6 +116,7 @@
 		bodies:    byteBudget{limit: cfg.MaxBufferedBodyBytes},
 		pool:      pool.New(cfg.Pool),
 		firstView: make(chan struct{}),
+		endings:   map[quarantine.Incarnation]*ending{},
 		waiting:   map[*pool.Request]chan pool.Decision{}, loggedConditions: map[pool.Subject]pool.State{},
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -130,6 +134,7 @@
 				g.client.CloseExpired(now)
 				// now is stale if the process was suspended after the tick.
 				g.logConditions(time.Now())
+				g.forgetEndings(time.Now())
 			}
 		}
 	}()
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -78,6 +78,9 @@
 		gap = now.Sub(a.lastEvent)
 	}
 	a.lastEvent = now
+	if a.events += countEvents(events); a.events >= soundEvents {
+		a.recordSound()
+	}
 	c.stream.longestGap = max(c.stream.longestGap, gap)
 	c.gateway.recordEvent(now, a.assigned.Server.ID, a.timeToFirst, gap)
 	events, lastID, err := c.stream.newEvents(events)
@@ -136,6 +139,9 @@
 // completeStream ends an attempt whose stream is complete.
 func (a *attempt) completeStream(res *backend.Response) outcome {
 	a.writeHeader(res, time.Now())
+	if !res.EndsWithConnection {
+		a.recordSound()
+	}
 	a.finish(pool.Answered, strconv.Itoa(res.Status))
 	return delivered{status: res.Status}
 }
@@ -196,6 +202,15 @@
 	return end
 }
 
+// countEvents returns the number of events in b, which holds complete events only.
+func countEvents(b []byte) int {
+	n := 0
+	for ; len(b) > 0; n++ {
+		b = b[firstEventLength(b):]
+	}
+	return n
+}
+
 // completeEventsLength returns the total length of the complete events at the start
 // of b.
 func completeEventsLength(b []byte) int {
--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -33,6 +33,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,6 +47,9 @@
 	// maxIdleConnections is the number of idle connections kept for a backend
 	// server. Some accept at most 56 connections from all entries together.
 	maxIdleConnections = 3
+	// endedTimeout bounds the check whether a backend server has ended. A host that
+	// is up refuses a connection within a round trip.
+	endedTimeout = 100 * time.Millisecond
 	// defaultIdleTimeout is how long an idle connection is kept if the backend
 	// server does not report its timeout.
 	defaultIdleTimeout = 500 * time.Millisecond
@@ -89,6 +93,9 @@
 	Urgency string
 	// LastEventID is the id of the last event that the caller received.
 	LastEventID string
+	// PromptParts lists the parts of the request's prompt, each with its number of
+	// tokens.
+	PromptParts string
 }
 
 // Request is one request as it is written to the connection.
@@ -163,6 +170,9 @@
 	Body   io.Reader
 	// ContentLength is -1 if it is not known.
 	ContentLength int64
+	// EndsWithConnection reports that nothing but the end of the connection marks
+	// the end of the body, so that a crash may look like it.
+	EndsWithConnection bool
 
 	client *Client
 	conn   *conn
@@ -213,7 +223,8 @@
 	body := &trackedBody{Reader: res.Body}
 	return &Response{
 		Status: res.StatusCode, Header: res.Header, Body: body, ContentLength: res.ContentLength,
-		client: c, conn: cn, http: res, body: body, stop: stop,
+		EndsWithConnection: res.ContentLength < 0 && len(res.TransferEncoding) == 0,
+		client:             c, conn: cn, http: res, body: body, stop: stop,
 	}, nil
 }
 
@@ -269,7 +280,7 @@
 func (r *Response) Close() {
 	cancelled := !r.stop()
 	complete := r.body.complete || r.http.Body == http.NoBody || r.ContentLength == 0
-	if cancelled || !complete || r.http.Close || (r.ContentLength < 0 && len(r.http.TransferEncoding) == 0) || r.conn.reader.Buffered() > 0 {
+	if cancelled || !complete || r.http.Close || r.EndsWithConnection || r.conn.reader.Buffered() > 0 {
 		r.conn.Close()
 		return
 	}
@@ -294,6 +305,20 @@
 	return defaultIdleTimeout
 }
 
+// HasEnded reports whether the backend server at an address has ended: its host
+// refuses connections. The answer is false if the host does not reply.
+func (c *Client) HasEnded(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, endedTimeout)
+	defer cancel()
+	cn, err := dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	cn.expires = time.Now().Add(defaultIdleTimeout)
+	c.putIdle(cn)
+	return false
+}
+
 // connect returns an idle connection that is still usable, or dials.
 func (c *Client) connect(ctx context.Context, address string, newConnection bool) (*conn, error) {
 	now := time.Now()
@@ -307,6 +332,10 @@
 		}
 		cn.Close()
 	}
+	return dial(ctx, address)
+}
+
+func dial(ctx context.Context, address string) (*conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second}
 	nc, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
