quarantine: stop requests with a part that crashes backend servers

Requests with one part in their prompts ended 14 and 15 backend servers, one after the other, and with each server its whole group of ranks.

Cause: an entry took the end of a server for a fault of that server alone. It sent the same request to another server at once, and nothing related one end to the next: the requests came at all entries, no two alike but for the part, and parts were not even parsed. A request of death, in the class of faults that retries and failover spread.

Change: entries record which parts were at a server that ended while the answer had not got far, and which were sound, and send this to the registrars with their calls. The leader quarantines a part that is suspect on three occasions and was never sound, or on five and was sound only before. The decision goes through the replicated log and to all entries, and survives the restart of any process; an entry also decides by its own evidence. Requests with the part are refused with 503, also while they wait, before a retry, and when they are sent but not begun. A sound answer ends the quarantine, and so does time, with a longer one next time.

Why it works: the part that crashes servers is never sound, while the parts that sound requests share with it are cleared by their answers.

--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -5,8 +5,8 @@
 # Concept
 
 A follower polls every registrar it can reach and keeps the newest of each: the
-catalog with the highest version, the drained failure domains of the highest
-log index, and the newest announcement of each backend server. Its view never
+catalog with the highest version, the drained failure domains and the quarantined
+parts of prompts of the highest log index, and the newest announcement of each backend server. Its view never
 goes back to an older state, whichever registrar answers, and stays unchanged
 while none does.
 
@@ -30,6 +30,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"oleanderrack.example/oleanderrack/internal/coordination/quarantine"
 	"oleanderrack.example/oleanderrack/internal/protocol/peer"
 	"oleanderrack.example/oleanderrack/internal/state/directory"
 	"oleanderrack.example/oleanderrack/pkg/catalog"
@@ -69,6 +70,9 @@
 	Decode func([]byte) (catalog.Catalog, error)
 	// Loads returns the requests in flight by backend server.
 	Loads func() map[string]int
+	// Observations returns what the entry has observed after a sequence number, and
+	// the highest number; see quarantine.Guard.
+	Observations func(after uint64) ([]quarantine.Observation, uint64)
 	// OnChange is called with each new view, in order.
 	OnChange func(*View)
 }
@@ -79,7 +83,9 @@
 	Index *catalog.Index
 	// Drained holds the failure domains that get no new work.
 	Drained map[string]bool
-	Servers []Server
+	// Quarantined holds the end of the quarantine of parts of prompts.
+	Quarantined map[string]time.Time
+	Servers     []Server
 	// Entries is the number of entries that share common limits, at least 1, and
 	// EntryIndex the position of this one among them, from 0.
 	Entries    int
@@ -118,6 +124,8 @@
 	index             *catalog.Index
 	drained           map[string]bool
 	drainIndex        uint64
+	quarantined       map[string]time.Time
+	quarantineIndex   uint64
 	registrars        map[string]*registrar
 	members           []string
 	domains           map[string]string // failure domain of each member, by address
@@ -214,8 +222,10 @@
 	client := peer.NewDirectoryProtobufClient("http://"+address, f.cfg.Client)
 	req := &peer.FollowRequest{Node: f.cfg.Node}
 	backoff := minBackoff
+	reported := uint64(0) // sequence number of the last observation that the registrar has
 	for ctx.Err() == nil {
-		req.CatalogVersion, req.DrainIndex = f.currentVersions()
+		f.setVersions(req)
+		last := f.setEvidence(address, req, reported)
 		f.setLoadExchange(address, req)
 		callCtx, cancel := context.WithTimeout(ctx, followWait+callTimeout)
 		begin := time.Now()
@@ -231,6 +241,11 @@
 			continue
 		}
 		backoff = minBackoff
+		reported = last
+		if req.Epoch != 0 && res.Epoch != req.Epoch {
+			// It has started again and has lost what was reported before.
+			reported = 0
+		}
 		req.Epoch, req.Since = res.Epoch, res.Version
 		f.merge(address, r, res, begin, !req.WithoutLoads)
 	}
@@ -275,15 +290,40 @@
 	return chosen
 }
 
-// currentVersions returns the version of the catalog and the index of the
-// drained failure domains that are in use.
-func (f *Follower) currentVersions() (version, drainIndex uint64) {
+// setEvidence sets the observations after a sequence number, for a member of the
+// group, and returns the number of the last one.
+func (f *Follower) setEvidence(address string, req *peer.FollowRequest, after uint64) uint64 {
+	f.mu.Lock()
+	isMember := len(f.members) == 0 || slices.Contains(f.members, address)
+	f.mu.Unlock()
+	req.Evidence = nil
+	if !isMember {
+		return after
+	}
+	now := time.Now()
+	observations, last := f.cfg.Observations(after)
+	for _, o := range observations {
+		req.Evidence = append(req.Evidence, &peer.PromptEvidence{
+			AgeMs: uint32(o.Age(now).Milliseconds()), Parts: o.Parts, Crashed: o.Crashed.ID, BornMs: o.Crashed.StartedMS,
+		})
+	}
+	return last
+}
+
+// setVersions sets the versions that are in use.
+func (f *Follower) setVersions(req *peer.FollowRequest) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.index != nil {
-		version = f.index.Catalog.Version
+	req.CatalogVersion, req.DrainIndex, req.QuarantineIndex = f.catalogVersion(), f.drainIndex, f.quarantineIndex
+}
+
+// catalogVersion returns the version of the catalog in use, or 0. The caller holds
+// f.mu.
+func (f *Follower) catalogVersion() uint64 {
+	if f.index == nil {
+		return 0
 	}
-	return version, f.drainIndex
+	return f.index.Catalog.Version
 }
 
 func (f *Follower) ownLoads() []*peer.ServerLoad {
@@ -331,6 +371,14 @@
 		}
 		f.log.Info("drained failure domains adopted", "index", res.DrainIndex, "drained", res.Drained, "from", address)
 	}
+	if res.QuarantineIndex > f.quarantineIndex {
+		f.quarantineIndex, changed = res.QuarantineIndex, true
+		f.quarantined = map[string]time.Time{}
+		for _, q := range res.Quarantined {
+			f.quarantined[q.Part] = time.UnixMilli(int64(q.UntilMs))
+		}
+		f.log.Info("quarantined parts adopted", "index", res.QuarantineIndex, "parts", len(res.Quarantined), "from", address)
+	}
 	for _, a := range res.Announcements {
 		changed = f.table.Apply(now, a) || changed
 	}
@@ -372,7 +420,10 @@
 
 // decode decodes the catalog of a response if it is newer than the one in use.
 func (f *Follower) decode(address string, res *peer.FollowResponse) *catalog.Index {
-	if current, _ := f.currentVersions(); len(res.Catalog) == 0 || res.CatalogVersion <= current {
+	f.mu.Lock()
+	current := f.catalogVersion()
+	f.mu.Unlock()
+	if len(res.Catalog) == 0 || res.CatalogVersion <= current {
 		return nil
 	}
 	c, err := f.cfg.Decode(res.Catalog)
@@ -403,7 +454,7 @@
 
 // publish builds and publishes a new view. The caller holds f.mu.
 func (f *Follower) publish() {
-	v := &View{Index: f.index, Drained: f.drained, Entries: 1}
+	v := &View{Index: f.index, Drained: f.drained, Quarantined: f.quarantined, Entries: 1}
 	for _, r := range f.registrars {
 		// A registrar that has just started does not know all entries yet.
 		if int(r.entries) >= v.Entries {
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -173,7 +173,7 @@
 	}
 	if a.ctx.Err() != nil && !a.timedOut() {
 		result := pool.Abandoned
-		if c.request.Context().Err() == nil {
+		if c.request.Context().Err() == nil && !errors.Is(context.Cause(a.ctx), errQuarantined) {
 			result = pool.NoAnswer
 		}
 		a.finish(result, err.Error())
--- a/internal/coordination/gateway/call.go
+++ b/internal/coordination/gateway/call.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"oleanderrack.example/oleanderrack/internal/coordination/pool"
 	"oleanderrack.example/oleanderrack/pkg/catalog"
 	"oleanderrack.example/oleanderrack/pkg/fault"
@@ -19,6 +21,9 @@
 	// writeTimeoutGrace is how long after a call's deadline its answer may still be
 	// written.
 	writeTimeoutGrace = 2 * time.Second
+	// minQuarantineRetryAfter is the least retry delay returned for a prompt with a
+	// quarantined part. The end of a quarantine is known within some seconds.
+	minQuarantineRetryAfter = 5 * time.Second
 )
 
 // call is the state of one caller's request.
@@ -50,6 +55,8 @@
 	timeToFirst   time.Duration
 	failure       *bufferedResponse // the latest 5xx response of a backend server
 	stream        stream
+	// stopWatch ends the watch for a quarantine of the request.
+	stopWatch func()
 }
 
 // outcome is how a call ended: delivered, refused, truncated or callerGone.
@@ -95,29 +102,49 @@
 	defer cancel()
 	c.service = c.route.PickService(c.gateway.randomFloat())
 	for {
-		begin := time.Now()
-		decision := c.gateway.acquire(ctx, c.poolRequest(begin))
-		c.waited += time.Since(begin)
-		switch d := decision.(type) {
-		case pool.Assign:
-			if out := c.attempt(ctx, d); out != nil {
-				return out
-			}
-		case pool.Refuse:
-			return c.fail(fault.New(d.Kind, "service %s: %s, %d waiting, %d running, expected wait %d ms",
-				c.service, d.Reason, d.Waiting, d.Running, d.ExpectedWait.Milliseconds()).WithRetryAfter(d.RetryAfter), d.Reason.String())
-		default:
-			return c.contextEnded()
+		if out := c.tryOnce(ctx); out != nil {
+			return out
 		}
 	}
 }
 
-// contextEnded returns the outcome of a call whose caller has disconnected or
-// whose deadline has passed.
+// errQuarantined is the cause with which requests are cancelled that have a
+// quarantined part.
+var errQuarantined = errors.New("a part of the prompt is quarantined")
+
+// tryOnce waits for a backend server and sends the request there. It returns nil if
+// the request should be retried.
+func (c *call) tryOnce(parent context.Context) outcome {
+	ctx, cancel := context.WithCancelCause(parent)
+	defer cancel(nil)
+	begin := time.Now()
+	c.stopWatch = c.gateway.guard.Watch(begin, c.parts, func() { cancel(errQuarantined) })
+	defer c.stopWatch()
+	if ctx.Err() != nil {
+		return c.contextEnded()
+	}
+	decision := c.gateway.acquire(ctx, c.poolRequest(begin))
+	c.waited += time.Since(begin)
+	switch d := decision.(type) {
+	case pool.Assign:
+		return c.attempt(ctx, d)
+	case pool.Refuse:
+		return c.fail(fault.New(d.Kind, "service %s: %s, %d waiting, %d running, expected wait %d ms",
+			c.service, d.Reason, d.Waiting, d.Running, d.ExpectedWait.Milliseconds()).WithRetryAfter(d.RetryAfter), d.Reason.String())
+	}
+	return c.contextEnded()
+}
+
+// contextEnded returns the outcome of a call whose caller has disconnected, whose
+// prompt has a quarantined part, or whose deadline has passed.
 func (c *call) contextEnded() outcome {
 	if c.request.Context().Err() != nil {
 		return callerGone{}
 	}
+	now := time.Now()
+	if until, refused := c.gateway.guard.Check(now, c.parts); refused {
+		return c.fail(fault.New(fault.Quarantined, "a part of the prompt has crashed backend servers").WithRetryAfter(max(minQuarantineRetryAfter, until.Sub(now))), "quarantined")
+	}
 	return c.fail(fault.New(fault.DeadlineExceeded, "no answer within the deadline"), "deadline")
 }
 
@@ -186,7 +213,7 @@
 		if c.stream.headerWritten {
 			list = append(list, "longest_gap_ms", c.stream.longestGap.Milliseconds())
 		}
-		if c.attemptFailed {
+		if o, ok := out.(refused); c.attemptFailed || (ok && o.err.Kind == fault.Quarantined) {
 			list = append(list, "prompt_parts", loggedParts(c.parts))
 		}
 		return append(list, more...)
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -17,6 +17,8 @@
     at another backend server. If that fails, or if a long answer breaks, the
     connection is aborted so that the caller sees the failure.
   - The work for a caller that has disconnected is cancelled at once.
+  - A request with a part of its prompt that crashes backend servers is refused,
+    also while it waits or before it is sent again; see package quarantine.
 
 Each call writes one log line with the inputs of its decisions; successful calls
 at the first attempt are sampled.
@@ -87,6 +89,7 @@
 	client  *backend.Client
 	metrics *metrics
 	bodies  byteBudget
+	guard   *quarantine.Guard
 
 	mu        sync.Mutex
 	view      *follower.View
@@ -114,6 +117,7 @@
 	g := &Gateway{
 		cfg: cfg, log: log, client: backend.New(cfg.HeaderNames), metrics: newMetrics(scope),
 		bodies:    byteBudget{limit: cfg.MaxBufferedBodyBytes},
+		guard:     quarantine.NewGuard(),
 		pool:      pool.New(cfg.Pool),
 		firstView: make(chan struct{}),
 		endings:   map[quarantine.Incarnation]*ending{},
@@ -149,7 +153,9 @@
 		close(g.firstView)
 	}
 	g.view = v
-	g.pool.Update(time.Now(), v)
+	now := time.Now()
+	g.guard.SetDecided(now, v.Quarantined)
+	g.pool.Update(now, v)
 	g.deliverDecisions()
 }
 
@@ -168,6 +174,12 @@
 	return g.pool.InFlight()
 }
 
+// Observations returns the evidence about parts of prompts after a sequence number,
+// and the highest number.
+func (g *Gateway) Observations(after uint64) ([]quarantine.Observation, uint64) {
+	return g.guard.Observations(after)
+}
+
 // Ready returns an error if callers should use another entry: this one has no
 // catalog yet, or has lost contact with the registrars for too long.
 func (g *Gateway) Ready() error {
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -78,6 +78,9 @@
 		gap = now.Sub(a.lastEvent)
 	}
 	a.lastEvent = now
+	// What is under way is not cancelled: it either crashes the backend server
+	// within moments or clears the part.
+	c.stopWatch()
 	if a.events += countEvents(events); a.events >= soundEvents {
 		a.recordSound()
 	}
--- /dev/null
+++ b/internal/coordination/quarantine/evidence.go
@@ -0,0 +1,251 @@
+/*
+Package quarantine finds parts of prompts that crash backend servers, and keeps
+requests with such a part away from them.
+
+# Concept
+
+A prompt is a list of parts, most of which it shares with other prompts. A part
+that makes an engine crash takes down one backend server after the other: each
+request with it is sent to another server once the first one has ended. The
+requests have nothing in common but the part, and arrive at all entries.
+
+When a backend server ends, the requests there whose answer had not got far are
+suspect, and so are the parts of their prompts. Most of these parts are sound. A
+request that is answered, or whose stream has gone on for a few events, clears
+its parts of all crashes before. A part that is suspect in several crashes on
+different occasions, and was not cleared since the first of them, is quarantined.
+One that was ever sound needs more crashes, since it is common: common parts are
+at any server that ends for another reason. A crash that a quarantined part
+explains does not count against others.
+
+[Evidence] makes this decision. Registrars keep the evidence of all entries, the
+leader decides by it, and the decision goes through the replicated log, so that it
+outlives any process. A [Guard] at each entry refuses requests with a quarantined
+part, collects evidence, and decides by its own evidence as well, so that an entry
+that has lost contact is protected too.
+
+A quarantine ends by itself, as the fault will be repaired some day. If the part
+crashes another server after that, the next quarantine lasts twice as long.
+
+The package reads no clock and does no I/O: the time is an argument of each call.
+
+# Use
+
+	guard := quarantine.NewGuard()
+	if until, refused := guard.Check(now, parts); refused { ... }
+	guard.AddSound(now, parts)
+	guard.AddCrash(now, quarantine.Incarnation{ID: id, StartedMS: ms}, parts)
+	guard.SetDecided(parts) // as the registrars decide
+*/
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// minCrashes is the number of occasions on which a part is suspect before it is
+	// quarantined, if it was never sound.
+	minCrashes = 3
+	// minCrashesOfSound is the same for a part that was sound before the first of
+	// them, or that cannot be told from another one.
+	minCrashesOfSound = 5
+	// occasionLength is the time within which crashes count as one occasion: hosts
+	// that fail together end many backend servers at the same moment.
+	occasionLength = 100 * time.Millisecond
+	// maxEvidenceAge is how long a crash counts. Requests with a part may be rare.
+	maxEvidenceAge = time.Hour
+	// maxCrashes and maxPartsPerCrash bound the memory for crashes.
+	maxCrashes       = 512
+	maxPartsPerCrash = 256
+	// maxSoundParts bounds the memory for parts that were sound; the ones that were
+	// not seen for longest are forgotten.
+	maxSoundParts = 8192
+)
+
+//go:generate go tool stringer -type=Status -linecomment -output=status_string.go
+
+// Status says whether a part is quarantined.
+type Status uint8
+
+// The states of a part.
+const (
+	Free    Status = iota // free
+	Active                // active
+	Expired               // expired
+)
+
+// crash is the end of an incarnation while requests there had not got far.
+type crash struct {
+	server Incarnation
+	at     time.Time
+	parts  map[string]bool
+	// explained is set once a quarantined part was among them.
+	explained bool
+}
+
+// Evidence holds crashes and sound answers by the parts of prompts. It is not safe
+// for concurrent use. Use NewEvidence.
+type Evidence struct {
+	crashes []*crash // in the order in which they were added
+	sound   recentTimes
+}
+
+// NewEvidence returns evidence without crashes.
+func NewEvidence() *Evidence { return &Evidence{} }
+
+// AddCrash records that an incarnation ended at a time while requests with these
+// parts were there. Entries that saw the same end add their parts to it.
+func (e *Evidence) AddCrash(at time.Time, server Incarnation, parts []string) {
+	i := slices.IndexFunc(e.crashes, func(c *crash) bool { return c.server == server })
+	if i < 0 {
+		if len(e.crashes) == maxCrashes {
+			e.crashes = slices.Delete(e.crashes, 0, 1)
+		}
+		e.crashes = append(e.crashes, &crash{server: server, at: at, parts: map[string]bool{}})
+		i = len(e.crashes) - 1
+	}
+	c := e.crashes[i]
+	if at.Before(c.at) {
+		c.at = at
+	}
+	for _, part := range parts {
+		if len(c.parts) < maxPartsPerCrash {
+			c.parts[part] = true
+		}
+	}
+}
+
+// AddSound records that a request with these parts was sound at a time.
+func (e *Evidence) AddSound(at time.Time, parts []string) {
+	for _, part := range parts {
+		e.sound.set(part, at)
+	}
+}
+
+// LastSound returns when a request with a part was last sound, or zero.
+func (e *Evidence) LastSound(part string) time.Time { return e.sound.get(part) }
+
+// Suspicion is the evidence against a part.
+type Suspicion struct {
+	Part string
+	// Crashes is the number of backend servers that ended with the part, and
+	// Occasions on how many occasions.
+	Crashes, Occasions int
+	First, Last        time.Time
+	// LastSound is when a request with the part was last sound, or zero.
+	LastSound time.Time
+}
+
+// Decide returns the parts that are to be quarantined, the most certain one first.
+// status returns the present state of a part.
+func (e *Evidence) Decide(now time.Time, status func(part string) Status) []Suspicion {
+	e.crashes = slices.DeleteFunc(e.crashes, func(c *crash) bool { return now.Sub(c.at) > maxEvidenceAge })
+	for _, c := range e.crashes {
+		for part := range c.parts {
+			if status(part) == Active {
+				c.explained = true
+			}
+		}
+	}
+	var decided []Suspicion
+	for {
+		suspicions := e.suspicions(func(c *crash) bool {
+			return !c.explained && !slices.ContainsFunc(decided, func(s Suspicion) bool { return c.parts[s.Part] })
+		})
+		next, ok := mostCertain(suspicions, status)
+		if !ok {
+			return decided
+		}
+		decided = append(decided, next)
+	}
+}
+
+// suspicions returns the evidence of the crashes that count against each part.
+func (e *Evidence) suspicions(counts func(*crash) bool) []Suspicion {
+	byPart := map[string]*Suspicion{}
+	ordered := slices.SortedFunc(slices.Values(e.crashes), func(a, b *crash) int { return a.at.Compare(b.at) })
+	for _, c := range ordered {
+		if !counts(c) {
+			continue
+		}
+		for part := range c.parts {
+			sound := e.sound.get(part)
+			if !c.at.After(sound) {
+				continue
+			}
+			s := byPart[part]
+			if s == nil {
+				s = &Suspicion{Part: part, First: c.at, LastSound: sound}
+				byPart[part] = s
+			}
+			s.Crashes++
+			if s.Occasions == 0 || c.at.Sub(s.Last) >= occasionLength {
+				s.Occasions++
+				s.Last = c.at
+			}
+		}
+	}
+	list := make([]Suspicion, 0, len(byPart))
+	for _, part := range slices.Sorted(maps.Keys(byPart)) {
+		list = append(list, *byPart[part])
+	}
+	return list
+}
+
+// mostCertain returns the part that is most likely the cause of crashes, if the
+// evidence against it is enough.
+func mostCertain(suspicions []Suspicion, status func(string) Status) (Suspicion, bool) {
+	if len(suspicions) == 0 {
+		return Suspicion{}, false
+	}
+	slices.SortStableFunc(suspicions, func(a, b Suspicion) int {
+		if a.LastSound.IsZero() != b.LastSound.IsZero() {
+			if a.LastSound.IsZero() {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.Occasions, a.Occasions)
+	})
+	for i, s := range suspicions {
+		needed := minCrashes
+		isAmbiguous := i+1 < len(suspicions) && suspicions[i+1].Occasions == s.Occasions && suspicions[i+1].LastSound.IsZero()
+		switch {
+		case status(s.Part) == Expired:
+			needed = 1
+		case !s.LastSound.IsZero() || isAmbiguous:
+			needed = minCrashesOfSound
+		}
+		if s.Occasions >= needed {
+			return s, true
+		}
+	}
+	return Suspicion{}, false
+}
+
+// recentTimes maps a bounded number of parts to a time. The parts that were not set
+// for longest are forgotten.
+type recentTimes struct {
+	current, previous map[string]time.Time
+}
+
+func (r *recentTimes) set(part string, at time.Time) {
+	if at.Before(r.get(part)) {
+		return
+	}
+	if len(r.current) >= maxSoundParts/2 || r.current == nil {
+		r.previous, r.current = r.current, map[string]time.Time{}
+	}
+	r.current[part] = at
+}
+
+func (r *recentTimes) get(part string) time.Time {
+	if at, ok := r.current[part]; ok {
+		return at
+	}
+	return r.previous[part]
+}
--- /dev/null
+++ b/internal/coordination/quarantine/guard.go
@@ -0,0 +1,213 @@
+package quarantine
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// firstDuration is how long the first quarantine of a part lasts, and
+	// maxDuration bounds the later ones, each twice as long as the one before.
+	firstDuration = 10 * time.Minute
+	maxDuration   = 24 * time.Hour
+	// maxObservations bounds the observations that are kept for registrars that
+	// have not received them, or have started again.
+	maxObservations = 256
+)
+
+// Duration returns how long the nth quarantine of a part lasts, from 1.
+func Duration(n int) time.Duration {
+	return min(maxDuration, firstDuration<<min(max(n, 1)-1, 16))
+}
+
+// Observation is what an entry has seen: the end of a backend server while requests
+// with these parts were there, or a sound answer if Crashed is zero.
+type Observation struct {
+	Sequence uint64
+	At       time.Time
+	Crashed  Incarnation
+	Parts    []string
+}
+
+// Age returns the time since an observation by the clock that says more: the
+// monotonic clock stands still while a process is suspended.
+func (o Observation) Age(now time.Time) time.Duration {
+	return max(0, now.Sub(o.At), now.Round(0).Sub(o.At.Round(0)))
+}
+
+// Guard is the quarantine at one entry. It is safe for concurrent use. Use
+// NewGuard.
+type Guard struct {
+	mu       sync.Mutex
+	evidence *Evidence
+	decided  map[string]time.Time // end of the quarantines that the registrars decided
+	local    map[string]time.Time // the same for those that this entry decided
+	watches  map[*watch]struct{}
+	// observations are those that registrars may lack. unsettled holds the parts
+	// in them that were suspect and have not been sound since.
+	observations []Observation
+	lastSequence uint64
+	unsettled    map[string]bool
+}
+
+// watch is a request that has not got far.
+type watch struct {
+	parts  []string
+	cancel func()
+}
+
+// NewGuard returns a guard without a quarantined part.
+func NewGuard() *Guard {
+	return &Guard{
+		evidence: NewEvidence(), decided: map[string]time.Time{}, local: map[string]time.Time{},
+		watches: map[*watch]struct{}{}, unsettled: map[string]bool{},
+	}
+}
+
+// Check reports whether requests with one of these parts are refused, and until
+// when.
+func (g *Guard) Check(now time.Time, parts []string) (until time.Time, refused bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.check(now, parts)
+}
+
+func (g *Guard) check(now time.Time, parts []string) (until time.Time, refused bool) {
+	for _, part := range parts {
+		if end, ok := g.decided[part]; ok {
+			until, refused = latest(until, end), true
+		}
+		if end, ok := g.local[part]; ok {
+			if now.Before(end) {
+				until, refused = latest(until, end), true
+			} else {
+				delete(g.local, part)
+			}
+		}
+	}
+	return until, refused
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Watch calls cancel as soon as one of the parts is quarantined, or at once if one
+// is. It returns a function that ends the watch.
+func (g *Guard) Watch(now time.Time, parts []string, cancel func()) (stop func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, refused := g.check(now, parts); refused {
+		cancel()
+		return func() {}
+	}
+	w := &watch{parts: parts, cancel: cancel}
+	g.watches[w] = struct{}{}
+	return func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.watches, w)
+	}
+}
+
+// SetDecided sets the parts that the registrars have quarantined, with the end of
+// each quarantine.
+func (g *Guard) SetDecided(now time.Time, decided map[string]time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for part := range g.decided {
+		if _, ok := decided[part]; !ok {
+			// The registrars have more evidence than this entry.
+			delete(g.local, part)
+		}
+	}
+	g.decided = decided
+	g.cancelWatched(now)
+}
+
+// AddSound records that a request with these parts was sound.
+func (g *Guard) AddSound(now time.Time, parts []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.evidence.AddSound(now, parts)
+	var settled []string
+	for _, part := range parts {
+		delete(g.local, part)
+		if g.unsettled[part] {
+			delete(g.unsettled, part)
+			settled = append(settled, part)
+		}
+	}
+	if len(settled) > 0 {
+		g.observe(Observation{At: now, Parts: settled})
+	}
+}
+
+// AddCrash records that a backend server ended while a request with these parts was
+// there, and returns the parts that this entry quarantines by its own evidence.
+func (g *Guard) AddCrash(now time.Time, server Incarnation, parts []string) []Suspicion {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, part := range parts {
+		if at := g.evidence.LastSound(part); !at.IsZero() && !g.unsettled[part] {
+			g.observe(Observation{At: at, Parts: []string{part}})
+		}
+		g.unsettled[part] = true
+	}
+	g.observe(Observation{At: now, Crashed: server, Parts: parts})
+	g.evidence.AddCrash(now, server, parts)
+	decided := g.evidence.Decide(now, func(part string) Status {
+		if _, refused := g.check(now, []string{part}); refused {
+			return Active
+		}
+		return Free
+	})
+	for _, s := range decided {
+		g.local[s.Part] = now.Add(firstDuration)
+	}
+	g.cancelWatched(now)
+	return decided
+}
+
+func (g *Guard) observe(o Observation) {
+	g.lastSequence++
+	o.Sequence = g.lastSequence
+	if len(g.observations) == maxObservations {
+		for _, part := range g.observations[0].Parts {
+			delete(g.unsettled, part)
+		}
+		g.observations = slices.Delete(g.observations, 0, 1)
+	}
+	g.observations = append(g.observations, o)
+}
+
+// cancelWatched cancels the requests that have a quarantined part.
+func (g *Guard) cancelWatched(now time.Time) {
+	for w := range g.watches {
+		if _, refused := g.check(now, w.parts); refused {
+			delete(g.watches, w)
+			w.cancel()
+		}
+	}
+}
+
+// Observations returns the observations after a sequence number, and the highest
+// number.
+func (g *Guard) Observations(after uint64) ([]Observation, uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	i, _ := slices.BinarySearchFunc(g.observations, after+1, func(o Observation, sequence uint64) int {
+		switch {
+		case o.Sequence < sequence:
+			return -1
+		case o.Sequence > sequence:
+			return 1
+		}
+		return 0
+	})
+	return slices.Clone(g.observations[i:]), g.lastSequence
+}
--- a/internal/coordination/quarantine/prompt.go
+++ b/internal/coordination/quarantine/prompt.go
@@ -1,7 +1,3 @@
-/*
-Package quarantine concerns requests that crash backend servers, by the parts of
-their prompts.
-*/
 package quarantine
 
 import (
--- a/internal/coordination/registrar/follow.go
+++ b/internal/coordination/registrar/follow.go
@@ -32,6 +32,7 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	r.recordFollower(req)
+	r.recordEvidence(req)
 	for {
 		res, wake := r.responseIfChanged(req)
 		if res != nil {
@@ -79,7 +80,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if req.Epoch == r.epoch && req.Since >= r.table.Version() &&
-		req.CatalogVersion >= r.catalog.Version && req.DrainIndex >= r.drained.Index {
+		req.CatalogVersion >= r.catalog.Version && req.DrainIndex >= r.drained.Index && req.QuarantineIndex >= r.quarantined.index {
 		return nil, r.changed
 	}
 	return r.responseLocked(req), nil
@@ -103,10 +104,13 @@
 		CatalogVersion: r.catalog.Version,
 		DrainIndex:     r.drained.Index,
 		Drained:        r.drained.FailureDomains,
-		Members:        r.supervisor.status().Members,
-		Leader:         r.supervisor.status().LeaderAddress,
-		Entries:        uint32(len(r.entries)),
-		EntryIndex:     r.entryIndex(req.GetNode().GetId()),
+
+		QuarantineIndex: r.quarantined.index,
+
+		Members:    r.supervisor.status().Members,
+		Leader:     r.supervisor.status().LeaderAddress,
+		Entries:    uint32(len(r.entries)),
+		EntryIndex: r.entryIndex(req.GetNode().GetId()),
 		// Within an election timeout of losing the majority, a leader steps down
 		// and a follower clears its leader.
 		HasQuorum: r.supervisor.status().Leader != 0 || time.Since(r.quorumAt) < quorumMaxAge,
@@ -114,6 +118,9 @@
 	if req.GetNode().GetRole() == peer.Role_ROLE_ENTRY && !req.WithoutLoads {
 		res.Loads = r.peerLoads(req.Node.Id)
 	}
+	if r.quarantined.index > req.QuarantineIndex {
+		res.Quarantined = r.quarantined.parts
+	}
 	if r.catalog.Version > req.CatalogVersion {
 		res.Catalog = r.catalog.Data
 	}
@@ -215,7 +222,7 @@
 	}
 	connected := false
 	for ctx.Err() == nil {
-		req.CatalogVersion, req.DrainIndex = r.heldVersions()
+		req.CatalogVersion, req.DrainIndex, req.QuarantineIndex = r.heldVersions()
 		callCtx, cancel := context.WithTimeout(ctx, peerFollowWait+callTimeout)
 		res, err := r.directoryClient(address).Follow(callCtx, req)
 		cancel()
@@ -240,16 +247,16 @@
 	}
 }
 
-// heldVersions returns the catalog version and drain index up to which other
-// registrars need not send data. A registrar with a disk needs none: it receives
-// catalogs and drained failure domains through the log.
-func (r *Registrar) heldVersions() (version, index uint64) {
+// heldVersions returns the catalog version and the indexes of drained failure
+// domains and quarantined parts up to which other registrars need not send data. A
+// registrar with a disk needs none: it receives them through the log.
+func (r *Registrar) heldVersions() (version, drainIndex, quarantineIndex uint64) {
 	if r.cfg.Folder != "" {
-		return math.MaxUint64, math.MaxUint64
+		return math.MaxUint64, math.MaxUint64, math.MaxUint64
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.catalog.Version, r.drained.Index
+	return r.catalog.Version, r.drained.Index, r.quarantined.index
 }
 
 // recordResponse records the state of the group that another registrar reported.
@@ -277,6 +284,10 @@
 		r.drained, changed = registry.DrainedDomains{Index: res.DrainIndex, FailureDomains: res.Drained}, true
 		r.log.Info("drained failure domains received", "index", res.DrainIndex, "drained", res.Drained)
 	}
+	if res.QuarantineIndex > r.quarantined.index {
+		r.quarantined, changed = quarantinedParts{index: res.QuarantineIndex, parts: res.Quarantined}, true
+		r.log.Info("quarantined parts received", "index", res.QuarantineIndex, "parts", len(res.Quarantined))
+	}
 	if changed {
 		r.wakeFollowers()
 	}
--- /dev/null
+++ b/internal/coordination/registrar/quarantine.go
@@ -0,0 +1,126 @@
+package registrar
+
+import (
+	"context"
+	"time"
+
+	"oleanderrack.example/oleanderrack/internal/coordination/quarantine"
+	"oleanderrack.example/oleanderrack/internal/coordination/replica"
+	"oleanderrack.example/oleanderrack/internal/protocol/peer"
+	"oleanderrack.example/oleanderrack/internal/state/registry"
+)
+
+// quarantineInterval is the time between two checks for quarantines that have
+// ended, and for evidence that arrived before this registrar became the leader.
+const quarantineInterval = 500 * time.Millisecond
+
+// quarantinedParts are the parts of prompts that entries must refuse.
+type quarantinedParts struct {
+	index uint64 // log index of the last change
+	parts []*peer.QuarantinedPart
+}
+
+// activeParts returns the parts that are quarantined.
+func activeParts(q registry.Quarantine) quarantinedParts {
+	active := quarantinedParts{index: q.Index}
+	for _, r := range q.Records {
+		if r.Active {
+			active.parts = append(active.parts, &peer.QuarantinedPart{Part: r.Part, UntilMs: r.UntilMs})
+		}
+	}
+	return active
+}
+
+// recordEvidence adds what an entry has observed.
+func (r *Registrar) recordEvidence(req *peer.FollowRequest) {
+	if len(req.Evidence) == 0 {
+		return
+	}
+	now := time.Now()
+	r.mu.Lock()
+	for _, e := range req.Evidence {
+		at := now.Add(-time.Duration(e.AgeMs) * time.Millisecond)
+		if e.Crashed == "" {
+			r.evidence.AddSound(at, e.Parts)
+			continue
+		}
+		r.evidence.AddCrash(at, quarantine.Incarnation{ID: e.Crashed, StartedMS: e.BornMs}, e.Parts)
+	}
+	r.mu.Unlock()
+	select {
+	case r.evidenceAdded <- struct{}{}:
+	default: // a check is due already
+	}
+}
+
+// maintainQuarantine begins and ends quarantines while this registrar is the
+// leader.
+func (r *Registrar) maintainQuarantine(ctx context.Context) {
+	ticker := time.NewTicker(quarantineInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-r.evidenceAdded:
+		}
+		log, state, err := r.supervisor.get()
+		if err != nil || !log.Status().IsLeader {
+			continue
+		}
+		for _, change := range r.quarantineChanges(time.Now(), state.Quarantine()) {
+			r.proposeQuarantine(ctx, log, change)
+		}
+	}
+}
+
+// quarantineChange is one change that the evidence calls for.
+type quarantineChange struct {
+	action registry.QuarantineChange_Action
+	// until is set for a begin.
+	until     time.Time
+	suspicion quarantine.Suspicion
+}
+
+func (r *Registrar) quarantineChanges(now time.Time, current registry.Quarantine) []quarantineChange {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var changes []quarantineChange
+	for _, s := range r.evidence.Decide(now, func(part string) quarantine.Status {
+		switch record := current.Record(part); {
+		case record == nil:
+			return quarantine.Free
+		case record.Active:
+			return quarantine.Active
+		}
+		return quarantine.Expired
+	}) {
+		length := quarantine.Duration(int(current.Record(s.Part).GetCount()) + 1)
+		changes = append(changes, quarantineChange{action: registry.QuarantineChange_ACTION_BEGIN, until: now.Add(length), suspicion: s})
+	}
+	for _, record := range current.Records {
+		sound := r.evidence.LastSound(record.Part)
+		s := quarantine.Suspicion{Part: record.Part, LastSound: sound}
+		switch {
+		case !record.Active:
+		case !sound.IsZero() && registry.UnixMilliseconds(sound) > record.SinceMs:
+			changes = append(changes, quarantineChange{action: registry.QuarantineChange_ACTION_CLEAR, suspicion: s})
+		case registry.UnixMilliseconds(now) >= record.UntilMs:
+			changes = append(changes, quarantineChange{action: registry.QuarantineChange_ACTION_EXPIRE, suspicion: s})
+		}
+	}
+	return changes
+}
+
+func (r *Registrar) proposeQuarantine(ctx context.Context, log *replica.Replica, change quarantineChange) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	s := change.suspicion
+	result, err := log.Propose(ctx, registry.QuarantineCommand(time.Now(), change.action, s.Part, change.until))
+	if err == nil {
+		err = registry.DecodeQuarantineResult(result)
+	}
+	r.log.Info("quarantine changed", "action", change.action.String(), "prompt_part", s.Part, "until", change.until,
+		"crashes", s.Crashes, "occasions", s.Occasions, "first_crash", s.First, "last_crash", s.Last, "last_sound", s.LastSound, "error", err)
+}
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -7,7 +7,8 @@
 Backend servers announce themselves to any registrar, and operators submit
 catalogs and drain failure domains there. Catalogs and drained failure domains
 go through the replicated log and are acknowledged once a majority has them on
-disk. Announcements are kept in memory: each registrar forwards those that it
+disk. The leader also quarantines parts of prompts there, by the evidence that
+entries send with each call; see package quarantine. Announcements are kept in memory: each registrar forwards those that it
 receives to the other registrars and to the entries that follow it. A change
 that stops new work is forwarded before it is acknowledged.
 
@@ -35,6 +36,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"oleanderrack.example/oleanderrack/internal/coordination/quarantine"
 	"oleanderrack.example/oleanderrack/internal/protocol/peer"
 	"oleanderrack.example/oleanderrack/internal/state/directory"
 	"oleanderrack.example/oleanderrack/internal/state/registry"
@@ -94,6 +96,8 @@
 	client     *http.Client
 	supervisor *supervisor
 	epoch      uint64
+	// evidenceAdded holds an element while evidence has not been checked.
+	evidenceAdded chan struct{}
 
 	mu      sync.Mutex
 	table   *directory.Table
@@ -102,7 +106,10 @@
 	// catalog and drained are the newest seen, also while the log is closed.
 	catalog registry.Catalog
 	drained registry.DrainedDomains
-	clients map[string]peer.Directory
+	// quarantined is the newest seen, and evidence is what entries have observed.
+	quarantined quarantinedParts
+	evidence    *quarantine.Evidence
+	clients     map[string]peer.Directory
 	// followers holds the time of the last Follow of each registrar that follows
 	// this one, by address. Those without a disk are not members; this registrar
 	// follows them too, to receive the announcements made there.
@@ -142,6 +149,9 @@
 		entries: map[string]*entryState{},
 		clients: map[string]peer.Directory{},
 
+		evidence:      quarantine.NewEvidence(),
+		evidenceAdded: make(chan struct{}, 1),
+
 		founders:  map[string]bool{},
 		followers: map[string]time.Time{},
 	}
@@ -151,6 +161,7 @@
 			r.supervisor.run(ctx, r.shouldBootstrap(ctx))
 		}()
 		go r.maintainMembership(ctx)
+		go r.maintainQuarantine(ctx)
 	}
 	go r.expire(ctx)
 	go r.followPeers(ctx)
@@ -247,7 +258,7 @@
 
 // onCommit is called after commands have been applied.
 func (r *Registrar) onCommit(state *registry.Registry) {
-	catalog, drained := state.Catalog(), state.Drained()
+	catalog, drained, quarantined := state.Catalog(), state.Drained(), state.Quarantine()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changed := false
@@ -259,6 +270,10 @@
 		r.drained, changed = drained, true
 		r.log.Info("drained failure domains committed", "index", drained.Index, "drained", drained.FailureDomains)
 	}
+	if quarantined.Index > r.quarantined.index {
+		r.quarantined, changed = activeParts(quarantined), true
+		r.log.Info("quarantined parts committed", "index", quarantined.Index, "parts", len(r.quarantined.parts))
+	}
 	if changed {
 		r.wakeFollowers()
 	}
--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -211,6 +211,10 @@
 		}
 		return nil, &SendError{Sent: sent, Connected: true, cause: err}
 	}
+	if ctx.Err() != nil {
+		// The request ended meanwhile, and an idle connection would accept it.
+		return fail(false, ctx.Err())
+	}
 	if err := req.write(cn); err != nil {
 		// The kernel has not accepted all of it, so the request cannot arrive
 		// complete.
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -5,8 +5,9 @@
 
 Every replica applies the same commands in the same order and so reaches the
 same state. The state holds the intent with its revision, the results of
-operation ids, the ledger of idempotency keys, the fencing numbers, and the
-decisions on expert maps. [Registry.Apply] is deterministic: it reads no clock,
+operation ids, the ledger of idempotency keys, the fencing numbers, the catalog,
+the drained failure domains, the quarantined parts of prompts, and the decisions on
+expert maps. [Registry.Apply] is deterministic: it reads no clock,
 uses no random numbers and depends only on the state and the command. Its
 results never depend on parsing an intent, since two versions of the program
 could then disagree; the leader checks an intent before it proposes it.
@@ -66,6 +67,9 @@
 	ledger   *ledger.Ledger
 	catalog  Catalog
 	drained  DrainedDomains
+
+	quarantineIndex uint64
+	quarantine      []*QuarantineRecord // sorted by part; records are not modified
 }
 
 // New returns an empty state at revision 0. Its intent lists no failure domain,
@@ -134,6 +138,8 @@
 		return r.replaceCatalog(body.ReplaceCatalog)
 	case *Command_DrainDomain:
 		return r.drain(index, body.DrainDomain)
+	case *Command_Quarantine:
+		return r.changeQuarantine(index, c.NowMs, body.Quarantine)
 	}
 	return failedResult(fault.New(fault.BadRequest, "command is empty or of an unknown type"))
 }
--- a/internal/state/registry/snapshot.go
+++ b/internal/state/registry/snapshot.go
@@ -32,6 +32,9 @@
 		Catalog:        r.catalog.Data,
 		DrainIndex:     r.drained.Index,
 		Drained:        r.drained.FailureDomains,
+
+		QuarantineIndex: r.quarantineIndex,
+		Quarantine:      r.quarantine,
 	}
 	for _, target := range slices.Sorted(maps.Keys(r.fencing)) {
 		s.Fencing = append(s.Fencing, &FencingNumber{Target: target, Number: r.fencing[target]})
@@ -60,6 +63,7 @@
 	r.ops, r.history = next.ops, next.history
 	r.groups, r.fencing, r.ledger = next.groups, next.fencing, next.ledger
 	r.catalog, r.drained = next.catalog, next.drained
+	r.quarantineIndex, r.quarantine = next.quarantineIndex, next.quarantine
 	return nil
 }
 
@@ -71,6 +75,7 @@
 	r.nowMS, r.revision, r.history = s.NowMs, s.Revision, s.History
 	r.catalog = Catalog{Version: s.CatalogVersion, Data: s.Catalog}
 	r.drained = DrainedDomains{Index: s.DrainIndex, FailureDomains: s.Drained}
+	r.quarantineIndex, r.quarantine = s.QuarantineIndex, s.Quarantine
 	if r.revision > 0 {
 		last := len(s.History) - 1
 		if last < 0 || s.History[last].Revision != s.Revision {
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -65,6 +65,7 @@
 	ChecksumMismatch              // checksum_mismatch
 	RetryBudgetSpent              // retry_budget_spent
 	BufferLimit                   // buffer_limit
+	Quarantined                   // quarantined
 	BadSettings                   // bad_settings
 	CorruptData                   // corrupt_data
 	ForeignData                   // foreign_data
@@ -120,6 +121,7 @@
 	ChecksumMismatch:  {http.StatusBadGateway, RanUnknown},
 	RetryBudgetSpent:  {http.StatusServiceUnavailable, RanUnknown},
 	BufferLimit:       {http.StatusServiceUnavailable, RanNo},
+	Quarantined:       {http.StatusServiceUnavailable, RanNo},
 	BadSettings:       {http.StatusInternalServerError, RanNo},
 	CorruptData:       {http.StatusInternalServerError, RanUnknown},
 	ForeignData:       {http.StatusInternalServerError, RanNo},
