quarantine: tests of its decision, its durability, and restarts; ambiguity by company

Two parts were taken for ambiguous when they were suspect equally often, though not in the same crashes, so that two independent parts that crash servers needed more evidence than one. Ambiguous is now a part that came with another one, never sound either, in each of its crashes. TestDecide "two parts" failed before.

--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -51,7 +51,7 @@
 	// quarantined, if it was never sound.
 	minCrashes = 3
 	// minCrashesOfSound is the same for a part that was sound before the first of
-	// them, or that cannot be told from another one.
+	// them, or that came with another one each time.
 	minCrashesOfSound = 5
 	// occasionLength is the time within which crashes count as one occasion: hosts
 	// that fail together end many backend servers at the same moment.
@@ -138,6 +138,22 @@
 	First, Last        time.Time
 	// LastSound is when a request with the part was last sound, or zero.
 	LastSound time.Time
+
+	crashes []*crash
+}
+
+// isAmbiguous reports whether another part that was never sound was suspect each
+// time.
+func (s *Suspicion) isAmbiguous(sound *recentTimes) bool {
+	for other := range s.crashes[0].parts {
+		if other == s.Part || !sound.get(other).IsZero() {
+			continue
+		}
+		if !slices.ContainsFunc(s.crashes, func(c *crash) bool { return !c.parts[other] }) {
+			return true
+		}
+	}
+	return false
 }
 
 // Decide returns the parts that are to be quarantined, the most certain one first.
@@ -156,7 +172,7 @@
 		suspicions := e.suspicions(func(c *crash) bool {
 			return !c.explained && !slices.ContainsFunc(decided, func(s Suspicion) bool { return c.parts[s.Part] })
 		})
-		next, ok := mostCertain(suspicions, status)
+		next, ok := e.mostCertain(suspicions, status)
 		if !ok {
 			return decided
 		}
@@ -183,6 +199,7 @@
 				byPart[part] = s
 			}
 			s.Crashes++
+			s.crashes = append(s.crashes, c)
 			if s.Occasions == 0 || c.at.Sub(s.Last) >= occasionLength {
 				s.Occasions++
 				s.Last = c.at
@@ -198,10 +215,7 @@
 
 // mostCertain returns the part that is most likely the cause of crashes, if the
 // evidence against it is enough.
-func mostCertain(suspicions []Suspicion, status func(string) Status) (Suspicion, bool) {
-	if len(suspicions) == 0 {
-		return Suspicion{}, false
-	}
+func (e *Evidence) mostCertain(suspicions []Suspicion, status func(string) Status) (Suspicion, bool) {
 	slices.SortStableFunc(suspicions, func(a, b Suspicion) int {
 		if a.LastSound.IsZero() != b.LastSound.IsZero() {
 			if a.LastSound.IsZero() {
@@ -211,13 +225,12 @@
 		}
 		return cmp.Compare(b.Occasions, a.Occasions)
 	})
-	for i, s := range suspicions {
+	for _, s := range suspicions {
 		needed := minCrashes
-		isAmbiguous := i+1 < len(suspicions) && suspicions[i+1].Occasions == s.Occasions && suspicions[i+1].LastSound.IsZero()
 		switch {
 		case status(s.Part) == Expired:
 			needed = 1
-		case !s.LastSound.IsZero() || isAmbiguous:
+		case !s.LastSound.IsZero() || s.isAmbiguous(&e.sound):
 			needed = minCrashesOfSound
 		}
 		if s.Occasions >= needed {
--- /dev/null
+++ b/internal/coordination/quarantine/evidence_test.go
@@ -0,0 +1,156 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// step is a crash if server is set, and otherwise a sound answer.
+type step struct {
+	at     time.Duration
+	server string
+	parts  []string
+}
+
+// TestDecide guards against a part that crashes backend servers and is not found,
+// and against the quarantine of sound parts that were there as well.
+func TestDecide(t *testing.T) {
+	crash := func(at time.Duration, server string, parts ...string) step { return step{at, server, parts} }
+	sound := func(at time.Duration, parts ...string) step { return step{at: at, parts: parts} }
+	common := []step{sound(0, "first"), sound(0, "other")}
+	rack := []step{sound(0, "first")}
+	for i := range 12 {
+		rack = append(rack, crash(time.Second+time.Duration(i)*5*time.Millisecond, fmt.Sprint("r", i), "first", "new"))
+	}
+	rare := []step{sound(0, "first")}
+	for i := range 3 {
+		at := time.Duration(i+1) * 15 * time.Minute
+		rare = append(rare, crash(at, fmt.Sprint("r", i), "bad", "first"), sound(at+time.Second, "first"))
+	}
+	turned := []step{sound(0, "bad", "first")}
+	for i := range 5 {
+		at := time.Duration(i+1) * time.Second
+		turned = append(turned, crash(at, fmt.Sprint("r", i), "bad", "first"), sound(at+500*time.Millisecond, "first"))
+	}
+	var together []step
+	for i := range 5 {
+		together = append(together, crash(time.Duration(i+1)*time.Second, fmt.Sprint("r", i), "bad", "twin"))
+	}
+	tests := map[string]struct {
+		steps  []step
+		status map[string]Status
+		want   []string
+	}{
+		"one crash":    {[]step{crash(1*time.Second, "a", "bad")}, nil, nil},
+		"two crashes":  {[]step{crash(1*time.Second, "a", "bad"), crash(2*time.Second, "b", "bad")}, nil, nil},
+		"three":        {[]step{crash(1*time.Second, "a", "bad"), crash(2*time.Second, "b", "bad"), crash(3*time.Second, "c", "bad")}, nil, []string{"bad"}},
+		"same server":  {[]step{crash(1*time.Second, "a", "bad"), crash(2*time.Second, "a", "bad"), crash(3*time.Second, "a", "bad")}, nil, nil},
+		"with company": {append(common, crash(1*time.Second, "a", "bad", "first", "other"), crash(2*time.Second, "b", "bad", "first"), crash(3*time.Second, "c", "bad", "first")), nil, []string{"bad"}},
+		"sound between": {[]step{crash(1*time.Second, "a", "other"), crash(2*time.Second, "b", "other"), sound(2500*time.Millisecond, "other"),
+			crash(3*time.Second, "c", "other"), crash(4*time.Second, "d", "other")}, nil, nil},
+		"common part only":         {append(common, crash(1*time.Second, "a", "first"), crash(2*time.Second, "b", "first"), crash(3*time.Second, "c", "first"), crash(4*time.Second, "d", "first")), nil, nil},
+		"hosts that fail together": {rack, nil, nil},
+		"rare requests":            {rare, nil, []string{"bad"}},
+		"sound until it was not":   {turned, nil, []string{"bad"}},
+		"always together":          {together, nil, []string{"bad"}},
+		"evidence too old":         {[]step{crash(0, "a", "bad"), crash(40*time.Minute, "b", "bad"), crash(2*time.Hour, "c", "bad")}, nil, nil},
+		"explained": {[]step{crash(1*time.Second, "a", "bad", "new"), crash(2*time.Second, "b", "bad", "new"), crash(3*time.Second, "c", "bad", "new"),
+			crash(4*time.Second, "d", "bad", "new"), crash(5*time.Second, "e", "bad", "new")}, map[string]Status{"bad": Active}, nil},
+		"once more after a quarantine": {[]step{crash(1*time.Second, "a", "bad", "new")}, map[string]Status{"bad": Expired}, []string{"bad"}},
+		"two parts": {[]step{crash(1*time.Second, "a", "x"), crash(2*time.Second, "b", "y"), crash(3*time.Second, "c", "x"), crash(4*time.Second, "d", "y"),
+			crash(5*time.Second, "e", "x"), crash(6*time.Second, "f", "y")}, nil, []string{"x", "y"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			e := NewEvidence()
+			var last time.Duration
+			for _, s := range test.steps {
+				last = max(last, s.at)
+				if s.server == "" {
+					e.AddSound(start.Add(s.at), s.parts)
+					continue
+				}
+				e.AddCrash(start.Add(s.at), Incarnation{ID: s.server, StartedMS: 1}, s.parts)
+			}
+			var got []string
+			for _, s := range e.Decide(start.Add(last), func(part string) Status { return test.status[part] }) {
+				got = append(got, s.Part)
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestOrderOfReports guards against evidence that counts otherwise because it
+// arrives late, twice or in another order.
+func TestOrderOfReports(t *testing.T) {
+	type report func(*Evidence)
+	crash := func(at time.Duration, server string, parts ...string) report {
+		return func(e *Evidence) { e.AddCrash(start.Add(at), Incarnation{server, 1}, parts) }
+	}
+	sound := func(at time.Duration, parts ...string) report {
+		return func(e *Evidence) { e.AddSound(start.Add(at), parts) }
+	}
+	reports := []report{
+		crash(1*time.Second, "a", "bad", "first"), crash(1*time.Second, "a", "other"), crash(2*time.Second, "b", "bad"), sound(2500*time.Millisecond, "first", "other"),
+		crash(3*time.Second, "c", "bad", "first"),
+	}
+	for begin := range reports {
+		e := NewEvidence()
+		for i := range 2 * len(reports) {
+			reports[(begin+i)%len(reports)](e)
+		}
+		got := e.Decide(start.Add(4*time.Second), func(string) Status { return Free })
+		want := []Suspicion{{Part: "bad", Crashes: 3, Occasions: 3, First: start.Add(1 * time.Second), Last: start.Add(3 * time.Second)}}
+		if diff := cmp.Diff(want, got, cmpopts.IgnoreUnexported(Suspicion{})); diff != "" {
+			t.Errorf("from report %d: %s", begin, diff)
+		}
+	}
+}
+
+// TestMemoryIsBounded guards against evidence that grows with each new part.
+func TestMemoryIsBounded(t *testing.T) {
+	e := NewEvidence()
+	for i := range 3 * maxSoundParts {
+		e.AddSound(start, []string{fmt.Sprint("p", i)})
+		e.AddCrash(start.Add(time.Duration(i)), Incarnation{fmt.Sprint("s", i), 1}, []string{fmt.Sprint("p", i)})
+	}
+	if n := len(e.sound.current) + len(e.sound.previous); n > maxSoundParts || len(e.crashes) > maxCrashes {
+		t.Errorf("%d parts and %d crashes are kept, want %d and %d at most", n, len(e.crashes), maxSoundParts, maxCrashes)
+	}
+	if e.LastSound(fmt.Sprint("p", 3*maxSoundParts-1)).IsZero() {
+		t.Error("the part that was sound last is forgotten")
+	}
+}
+
+// TestParts guards against the quarantine of a request's own part, and against
+// parts that are missed for how a list is written.
+func TestParts(t *testing.T) {
+	tests := map[string]struct {
+		list string
+		want []string
+	}{
+		"none":       {"", []string{}},
+		"own only":   {"e4402b7d:250", []string{}},
+		"shared":     {"5c1e07a2:800,91bd3f06:410,e4402b7d:250", []string{"5c1e07a2", "91bd3f06"}},
+		"spaces":     {" 5c1e07a2:800 , 91BD3F06:410,\te4402b7d:250", []string{"5c1e07a2", "91bd3f06"}},
+		"no tokens":  {"5c1e07a2,91bd3f06", []string{"5c1e07a2"}},
+		"twice":      {"5c1e07a2:1,5c1e07a2:1,91bd3f06:1", []string{"5c1e07a2"}},
+		"empty ones": {",:4,91bd3f06:1,e4402b7d:250", []string{"91bd3f06"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(test.want, Parts(test.list)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/coordination/quarantine/guard_test.go
@@ -0,0 +1,144 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func crashThrice(g *Guard, part string) {
+	for i := range minCrashes {
+		g.AddCrash(start.Add(time.Duration(i)*time.Second), Incarnation{fmt.Sprint(part, i), 1}, []string{part, "first"})
+	}
+}
+
+// TestGuard guards against requests that are let through after a part is
+// quarantined, and against a quarantine that outlives its reason.
+func TestGuard(t *testing.T) {
+	tests := map[string]struct {
+		steps   func(*Guard)
+		refused []string
+	}{
+		"no evidence":       {func(*Guard) {}, nil},
+		"own evidence":      {func(g *Guard) { crashThrice(g, "bad") }, []string{"bad"}},
+		"decided elsewhere": {func(g *Guard) { g.SetDecided(start, map[string]time.Time{"bad": start.Add(time.Hour)}) }, []string{"bad"}},
+		"contact is lost after the end": {func(g *Guard) { g.SetDecided(start, map[string]time.Time{"bad": start.Add(-time.Hour)}) },
+			[]string{"bad"}},
+		"own and decided": {func(g *Guard) {
+			crashThrice(g, "bad")
+			g.SetDecided(start, map[string]time.Time{"other": start.Add(time.Hour)})
+		}, []string{"bad", "other"}},
+		"ended elsewhere": {func(g *Guard) {
+			crashThrice(g, "bad")
+			g.SetDecided(start, map[string]time.Time{"bad": start.Add(time.Hour)})
+			g.SetDecided(start, nil)
+		}, nil},
+		"sound after all": {func(g *Guard) {
+			crashThrice(g, "bad")
+			g.AddSound(start.Add(4*time.Second), []string{"bad"})
+		}, nil},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewGuard()
+			g.AddSound(start, []string{"first"})
+			test.steps(g)
+			var got []string
+			for _, part := range []string{"bad", "first", "other"} {
+				if _, refused := g.Check(start.Add(5*time.Second), []string{part}); refused {
+					got = append(got, part)
+				}
+			}
+			if diff := cmp.Diff(test.refused, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+	t.Run("own evidence expires", func(t *testing.T) {
+		g := NewGuard()
+		crashThrice(g, "bad")
+		if _, refused := g.Check(start.Add(2*time.Second+firstDuration), []string{"bad"}); refused {
+			t.Error("the quarantine has no end")
+		}
+	})
+}
+
+// TestWatch guards against requests that wait, or are on their way, when a part of
+// their prompt is quarantined.
+func TestWatch(t *testing.T) {
+	g := NewGuard()
+	g.AddSound(start, []string{"first"})
+	cancelled := map[string]int{}
+	watch := func(name string, parts ...string) func() {
+		return g.Watch(start, parts, func() { cancelled[name]++ })
+	}
+	watch("with the part", "first", "bad")
+	watch("sound", "first", "other")
+	watch("ended before", "bad")()
+	crashThrice(g, "bad")
+	watch("new", "bad")
+	g.SetDecided(start, map[string]time.Time{"bad": start.Add(time.Hour)})
+	if diff := cmp.Diff(map[string]int{"with the part": 1, "new": 1}, cancelled); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestObservations guards against evidence that a registrar does not get: what
+// came before its restart, and the earlier and later answers that clear a part.
+func TestObservations(t *testing.T) {
+	g := NewGuard()
+	g.AddSound(start, []string{"first", "unrelated"})
+	server := Incarnation{"a", 1}
+	g.AddCrash(start.Add(time.Second), server, []string{"bad", "first"})
+	g.AddSound(start.Add(2*time.Second), []string{"first", "unrelated"})
+	g.AddSound(start.Add(3*time.Second), []string{"first"})
+	want := []Observation{
+		{Sequence: 1, At: start, Parts: []string{"first"}},
+		{Sequence: 2, At: start.Add(time.Second), Crashed: server, Parts: []string{"bad", "first"}},
+		{Sequence: 3, At: start.Add(2 * time.Second), Parts: []string{"first"}},
+	}
+	for after := range want {
+		got, last := g.Observations(uint64(after))
+		if diff := cmp.Diff(want[after:], got); diff != "" || last != 3 {
+			t.Errorf("after %d, last %d: %s", after, last, diff)
+		}
+	}
+	for i := range 2 * maxObservations {
+		g.AddCrash(start, Incarnation{fmt.Sprint(i), 1}, []string{"bad"})
+	}
+	if got, _ := g.Observations(0); len(got) != maxObservations {
+		t.Errorf("%d observations are kept, want %d", len(got), maxObservations)
+	}
+}
+
+// TestAge guards against an observation that looks younger than it is because the
+// process was suspended.
+func TestAge(t *testing.T) {
+	now := time.Now()
+	tests := map[string]struct {
+		at   time.Time
+		want time.Duration
+	}{
+		"both clocks":           {now.Add(-time.Second), time.Second},
+		"monotonic stood still": {now.Add(-time.Second).Round(0), time.Second},
+		"from the future":       {now.Add(time.Second), 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(test.want, Observation{At: test.at}.Age(now)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestDuration guards against quarantines that do not last longer each time, or
+// without bound.
+func TestDuration(t *testing.T) {
+	got := []time.Duration{Duration(0), Duration(1), Duration(2), Duration(3), Duration(100)}
+	if diff := cmp.Diff([]time.Duration{firstDuration, firstDuration, 2 * firstDuration, 4 * firstDuration, maxDuration}, got); diff != "" {
+		t.Error(diff)
+	}
+}
