quarantine: tell common parts from the cause when nothing was sound yet

An entry, or a whole system, that has just started has seen no sound answer, so a part that most prompts share looked like the one that crashes servers: it is at every server that ends. Between parts with the same evidence the one in fewer requests, then the later one in its prompt, now goes first; the crashes that it explains do not count against others. TestDecide "few others there" and "always together" (with common parts that sort first) fail with the order of before.

An entry sees only a part of the crashes and answers. Its own decision lasts 5 s now, twice as long each further time, instead of ten minutes: registrars decide within a second while there is contact. TestGuard covers both.

A stream counts as sound after 8 events instead of 5: with short passes a server that crashes 0.1 s after it has begun writes up to four.

TestPartCrashesRunners passes in its four cases.

--- a/internal/coordination/gateway/ending.go
+++ b/internal/coordination/gateway/ending.go
@@ -14,7 +14,7 @@
 	// soundEvents is the number of events after which the answer of a stream does
 	// not crash its backend server any more. One that does ends it within a pass
 	// or two.
-	soundEvents = 5
+	soundEvents = 8
 	// endingMaxAge is how long the result is used that a backend server has ended.
 	// Then another incarnation may have started at the address.
 	endingMaxAge = time.Second
--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -82,11 +82,17 @@
 type crash struct {
 	server Incarnation
 	at     time.Time
-	parts  map[string]bool
+	parts  map[string]mention
 	// explained is set once a quarantined part was among them.
 	explained bool
 }
 
+// mention is how a part occurred among the requests at a server that ended.
+type mention struct {
+	requests int
+	position int // in the prompt, from 0
+}
+
 // Evidence holds crashes and sound answers by the parts of prompts. It is not safe
 // for concurrent use. Use NewEvidence.
 type Evidence struct {
@@ -105,16 +111,17 @@
 		if len(e.crashes) == maxCrashes {
 			e.crashes = slices.Delete(e.crashes, 0, 1)
 		}
-		e.crashes = append(e.crashes, &crash{server: server, at: at, parts: map[string]bool{}})
+		e.crashes = append(e.crashes, &crash{server: server, at: at, parts: map[string]mention{}})
 		i = len(e.crashes) - 1
 	}
 	c := e.crashes[i]
 	if at.Before(c.at) {
 		c.at = at
 	}
-	for _, part := range parts {
-		if len(c.parts) < maxPartsPerCrash {
-			c.parts[part] = true
+	for position, part := range parts {
+		m, known := c.parts[part]
+		if known || len(c.parts) < maxPartsPerCrash {
+			c.parts[part] = mention{requests: m.requests + 1, position: max(m.position, position)}
 		}
 	}
 }
@@ -140,6 +147,14 @@
 	LastSound time.Time
 
 	crashes []*crash
+	// requests and position add up the mentions of the part. One that crashes
+	// servers is mentioned once, with parts that many requests share before it.
+	requests, position int
+}
+
+func (c *crash) has(part string) bool {
+	_, ok := c.parts[part]
+	return ok
 }
 
 // isAmbiguous reports whether another part that was never sound was suspect each
@@ -149,7 +164,7 @@
 		if other == s.Part || !sound.get(other).IsZero() {
 			continue
 		}
-		if !slices.ContainsFunc(s.crashes, func(c *crash) bool { return !c.parts[other] }) {
+		if !slices.ContainsFunc(s.crashes, func(c *crash) bool { return !c.has(other) }) {
 			return true
 		}
 	}
@@ -170,7 +185,7 @@
 	var decided []Suspicion
 	for {
 		suspicions := e.suspicions(func(c *crash) bool {
-			return !c.explained && !slices.ContainsFunc(decided, func(s Suspicion) bool { return c.parts[s.Part] })
+			return !c.explained && !slices.ContainsFunc(decided, func(s Suspicion) bool { return c.has(s.Part) })
 		})
 		next, ok := e.mostCertain(suspicions, status)
 		if !ok {
@@ -188,7 +203,7 @@
 		if !counts(c) {
 			continue
 		}
-		for part := range c.parts {
+		for part, m := range c.parts {
 			sound := e.sound.get(part)
 			if !c.at.After(sound) {
 				continue
@@ -200,6 +215,8 @@
 			}
 			s.Crashes++
 			s.crashes = append(s.crashes, c)
+			s.requests += m.requests
+			s.position += m.position
 			if s.Occasions == 0 || c.at.Sub(s.Last) >= occasionLength {
 				s.Occasions++
 				s.Last = c.at
@@ -223,7 +240,7 @@
 			}
 			return 1
 		}
-		return cmp.Compare(b.Occasions, a.Occasions)
+		return cmp.Or(cmp.Compare(b.Occasions, a.Occasions), cmp.Compare(a.requests, b.requests), cmp.Compare(b.position, a.position))
 	})
 	for _, s := range suspicions {
 		needed := minCrashes
--- a/internal/coordination/quarantine/guard.go
+++ b/internal/coordination/quarantine/guard.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -11,6 +12,12 @@
 	// maxDuration bounds the later ones, each twice as long as the one before.
 	firstDuration = 10 * time.Minute
 	maxDuration   = 24 * time.Hour
+	// firstLocalDuration is how long an entry refuses a part at first by its own
+	// evidence, and maxLocalDuration bounds the later times. An entry sees a part of
+	// the crashes, and of the sound answers, so that it may take a common part for
+	// the cause. Registrars decide within a second unless contact is lost.
+	firstLocalDuration = 5 * time.Second
+	maxLocalDuration   = 10 * time.Minute
 	// maxObservations bounds the observations that are kept for registrars that
 	// have not received them, or have started again.
 	maxObservations = 256
@@ -42,7 +49,7 @@
 	mu       sync.Mutex
 	evidence *Evidence
 	decided  map[string]time.Time // end of the quarantines that the registrars decided
-	local    map[string]time.Time // the same for those that this entry decided
+	local    map[string]localQuarantine
 	watches  map[*watch]struct{}
 	// observations are those that registrars may lack. unsettled holds the parts
 	// in them that were suspect and have not been sound since.
@@ -51,6 +58,12 @@
 	unsettled    map[string]bool
 }
 
+// localQuarantine is a quarantine that the entry decided by its own evidence.
+type localQuarantine struct {
+	until time.Time
+	count int // how often it has begun
+}
+
 // watch is a request that has not got far.
 type watch struct {
 	parts  []string
@@ -60,7 +73,7 @@
 // NewGuard returns a guard without a quarantined part.
 func NewGuard() *Guard {
 	return &Guard{
-		evidence: NewEvidence(), decided: map[string]time.Time{}, local: map[string]time.Time{},
+		evidence: NewEvidence(), decided: map[string]time.Time{}, local: map[string]localQuarantine{},
 		watches: map[*watch]struct{}{}, unsettled: map[string]bool{},
 	}
 }
@@ -78,12 +91,8 @@
 		if end, ok := g.decided[part]; ok {
 			until, refused = latest(until, end), true
 		}
-		if end, ok := g.local[part]; ok {
-			if now.Before(end) {
-				until, refused = latest(until, end), true
-			} else {
-				delete(g.local, part)
-			}
+		if own, ok := g.local[part]; ok && now.Before(own.until) {
+			until, refused = latest(until, own.until), true
 		}
 	}
 	return until, refused
@@ -148,7 +157,8 @@
 }
 
 // AddCrash records that a backend server ended while a request with these parts was
-// there, and returns the parts that this entry quarantines by its own evidence.
+// there, and returns the parts that this entry quarantines by its own evidence for
+// some time.
 func (g *Guard) AddCrash(now time.Time, server Incarnation, parts []string) []Suspicion {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -160,14 +170,19 @@
 	}
 	g.observe(Observation{At: now, Crashed: server, Parts: parts})
 	g.evidence.AddCrash(now, server, parts)
+	maps.DeleteFunc(g.local, func(_ string, own localQuarantine) bool { return now.Sub(own.until) > maxEvidenceAge })
 	decided := g.evidence.Decide(now, func(part string) Status {
 		if _, refused := g.check(now, []string{part}); refused {
 			return Active
 		}
+		if g.local[part].count > 0 {
+			return Expired
+		}
 		return Free
 	})
 	for _, s := range decided {
-		g.local[s.Part] = now.Add(firstDuration)
+		count := g.local[s.Part].count + 1
+		g.local[s.Part] = localQuarantine{until: now.Add(min(maxLocalDuration, firstLocalDuration<<min(count-1, 16))), count: count}
 	}
 	g.cancelWatched(now)
 	return decided
--- a/internal/coordination/quarantine/prompt.go
+++ b/internal/coordination/quarantine/prompt.go
@@ -14,16 +14,18 @@
 	StartedMS uint64
 }
 
-// Parts returns the ids of the parts of a prompt that other prompts may share, from
-// a list of the form "ID:TOKENS,ID:TOKENS". The last part is the request's own.
+// Parts returns the ids of the parts of a prompt that other prompts may share, in
+// order, from a list of the form "ID:TOKENS,ID:TOKENS". The last part is the request's own.
 func Parts(list string) []string {
 	var parts []string
 	for entry := range strings.SplitSeq(list, ",") {
 		id, _, _ := strings.Cut(strings.TrimSpace(entry), ":")
 		parts = append(parts, strings.ToLower(strings.TrimSpace(id)))
 	}
-	parts = parts[:min(len(parts)-1, maxParts)]
-	slices.Sort(parts)
-	parts = slices.Compact(parts)
-	return slices.DeleteFunc(parts, func(id string) bool { return id == "" })
+	seen := map[string]bool{"": true}
+	return slices.DeleteFunc(parts[:min(len(parts)-1, maxParts)], func(id string) bool {
+		again := seen[id]
+		seen[id] = true
+		return again
+	})
 }
