registrar, platform: list and end quarantines, and drop the evidence of ended ones

An operator had no way to see which parts of prompts are refused, or to end the quarantine of a part by mistake.

Cause of a fault found with it: evidence outlived the quarantine. After an end, by time or by an operator, the next leader still had the crashes of before, and so had an entry that sent them again to a registrar after its restart. Both now drop what they have on a part when they see that its quarantine has ended.

--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -98,6 +98,7 @@
 type Evidence struct {
 	crashes []*crash // in the order in which they were added
 	sound   recentTimes
+	settled recentTimes // when the quarantine of a part ended
 }
 
 // NewEvidence returns evidence without crashes.
@@ -133,6 +134,9 @@
 	}
 }
 
+// Settle drops the crashes before a time for a part whose quarantine has ended.
+func (e *Evidence) Settle(at time.Time, part string) { e.settled.set(part, at) }
+
 // LastSound returns when a request with a part was last sound, or zero.
 func (e *Evidence) LastSound(part string) time.Time { return e.sound.get(part) }
 
@@ -205,7 +209,7 @@
 		}
 		for part, m := range c.parts {
 			sound := e.sound.get(part)
-			if !c.at.After(sound) {
+			if !c.at.After(latest(sound, e.settled.get(part))) {
 				continue
 			}
 			s := byPart[part]
--- a/internal/coordination/quarantine/guard.go
+++ b/internal/coordination/quarantine/guard.go
@@ -132,12 +132,25 @@
 		if _, ok := decided[part]; !ok {
 			// The registrars have more evidence than this entry.
 			delete(g.local, part)
+			g.settle(now, part)
 		}
 	}
 	g.decided = decided
 	g.cancelWatched(now)
 }
 
+// settle drops what was observed of a part before its quarantine ended, so that a
+// registrar that starts again does not quarantine it for that.
+func (g *Guard) settle(now time.Time, part string) {
+	g.evidence.Settle(now, part)
+	for i := range g.observations {
+		o := &g.observations[i]
+		if o.Crashed.ID != "" && slices.Contains(o.Parts, part) {
+			o.Parts = slices.DeleteFunc(slices.Clone(o.Parts), func(other string) bool { return other == part })
+		}
+	}
+}
+
 // AddSound records that a request with these parts was sound.
 func (g *Guard) AddSound(now time.Time, parts []string) {
 	g.mu.Lock()
--- a/internal/coordination/quarantine/guard_test.go
+++ b/internal/coordination/quarantine/guard_test.go
@@ -133,6 +133,31 @@
 	}
 }
 
+// TestSettled guards against crashes that count again after a quarantine has ended,
+// at this entry or at a registrar that has lost them.
+func TestSettled(t *testing.T) {
+	g := NewGuard()
+	crashThrice(g, "bad")
+	g.SetDecided(start, map[string]time.Time{"bad": start.Add(time.Minute)})
+	ended := start.Add(time.Minute)
+	g.SetDecided(ended, nil)
+	if decided := g.AddCrash(ended.Add(time.Second), Incarnation{"again", 1}, []string{"bad"}); len(decided) > 0 {
+		t.Errorf("quarantined again: %v", decided)
+	}
+	observations, _ := g.Observations(0)
+	crashes := 0
+	for _, o := range observations {
+		for _, part := range o.Parts {
+			if part == "bad" {
+				crashes++
+			}
+		}
+	}
+	if crashes != 1 {
+		t.Errorf("%d crashes are reported, want only the one after the end", crashes)
+	}
+}
+
 // TestAge guards against an observation that looks younger than it is because the
 // process was suspended.
 func TestAge(t *testing.T) {
--- a/internal/coordination/registrar/quarantine.go
+++ b/internal/coordination/registrar/quarantine.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"oleanderrack.example/oleanderrack/internal/coordination/quarantine"
 	"oleanderrack.example/oleanderrack/internal/coordination/replica"
 	"oleanderrack.example/oleanderrack/internal/protocol/peer"
 	"oleanderrack.example/oleanderrack/internal/state/registry"
+	"oleanderrack.example/oleanderrack/pkg/fault"
 )
 
 // quarantineInterval is the time between two checks for quarantines that have
@@ -31,6 +33,16 @@
 	return active
 }
 
+// settleEnded drops the evidence against parts whose quarantine has ended. The
+// caller holds r.mu.
+func (r *Registrar) settleEnded(now time.Time, previous quarantinedParts) {
+	for _, p := range previous.parts {
+		if !slices.ContainsFunc(r.quarantined.parts, func(q *peer.QuarantinedPart) bool { return q.Part == p.Part }) {
+			r.evidence.Settle(now, p.Part)
+		}
+	}
+}
+
 // recordEvidence adds what an entry has observed.
 func (r *Registrar) recordEvidence(req *peer.FollowRequest) {
 	if len(req.Evidence) == 0 {
@@ -124,3 +136,44 @@
 	r.log.Info("quarantine changed", "action", change.action.String(), "prompt_part", s.Part, "until", change.until,
 		"crashes", s.Crashes, "occasions", s.Occasions, "first_crash", s.First, "last_crash", s.Last, "last_sound", s.LastSound, "error", err)
 }
+
+// Quarantine lists the parts that are or were quarantined, after it has ended the
+// quarantine of one if the request asks for it. A quorum has confirmed the list.
+func (r *Registrar) Quarantine(ctx context.Context, req *peer.QuarantineRequest) (*peer.QuarantineResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	var res *peer.QuarantineResponse
+	err := r.onLeader(ctx, req.Forwarded, func(log *replica.Replica, state *registry.Registry) error {
+		if req.Clear != "" {
+			if state.Quarantine().Record(req.Clear) == nil {
+				return fault.New(fault.NotFound, "part %q is not and was not quarantined", req.Clear)
+			}
+			result, err := log.Propose(ctx, registry.QuarantineCommand(time.Now(), registry.QuarantineChange_ACTION_CLEAR, req.Clear, time.Time{}))
+			if err != nil {
+				return err
+			}
+			if err := registry.DecodeQuarantineResult(result); err != nil {
+				return err
+			}
+		} else if _, err := log.ConfirmLeadership(ctx); err != nil {
+			return err
+		}
+		res = &peer.QuarantineResponse{}
+		for _, record := range state.Quarantine().Records {
+			res.Parts = append(res.Parts, &peer.QuarantineState{
+				Part: record.Part, Active: record.Active, Count: record.Count, SinceMs: record.SinceMs, UntilMs: record.UntilMs,
+			})
+		}
+		return nil
+	}, func(leader peer.Directory) (err error) {
+		res, err = leader.Quarantine(ctx, &peer.QuarantineRequest{Clear: req.Clear, Forwarded: true})
+		return err
+	})
+	if req.Clear != "" {
+		r.log.Info("quarantine clear request", "prompt_part", req.Clear, "forwarded", req.Forwarded, "error", err)
+	}
+	if err != nil {
+		return nil, r.refuse("quarantine", err)
+	}
+	return res, nil
+}
--- a/internal/coordination/registrar/quarantine_test.go
+++ b/internal/coordination/registrar/quarantine_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 
 	"oleanderrack.example/oleanderrack/internal/protocol/peer"
+	"oleanderrack.example/oleanderrack/pkg/fault"
 )
 
 // report sends what an entry has observed to some registrars, as entries do with
@@ -123,3 +125,37 @@
 	g.report("e2", g.seeds, &peer.PromptEvidence{Parts: []string{"good"}})
 	g.quarantined(g.seeds[0], "bad")
 }
+
+// TestQuarantineEndedByOperator guards against a part whose quarantine an operator
+// has ended and that is quarantined again for the same crashes, also by the next
+// leader.
+func TestQuarantineEndedByOperator(t *testing.T) {
+	g := newGroup(t, 3)
+	g.replace(g.any(), 1, "one")
+	for _, n := range g.nodes {
+		g.eventually("become a voter", func() error { return checkVoter(n) })
+	}
+	g.report("e1", g.seeds, crashesApart("good")...)
+	g.quarantined(g.seeds[1], "good")
+	var leader, other *node
+	for _, n := range g.nodes {
+		if n.supervisor.status().IsLeader {
+			leader = n
+		} else {
+			other = n
+		}
+	}
+	if _, err := other.Quarantine(context.Background(), &peer.QuarantineRequest{Clear: "unknown"}); !fault.Is(peer.FromTwirp(err), fault.NotFound) {
+		t.Errorf("an unknown part: %v", err)
+	}
+	res, err := other.Quarantine(context.Background(), &peer.QuarantineRequest{Clear: "good"})
+	if err != nil || len(res.Parts) != 0 {
+		t.Fatalf("%v, error %v", res, err)
+	}
+	leader.TransferLeadership(context.Background())
+	time.Sleep(3 * quarantineInterval)
+	g.quarantined(other.cfg.Address)
+	g.report("e1", g.seeds, crashed("again", "good"), crashed("other", "bad"))
+	time.Sleep(3 * quarantineInterval)
+	g.quarantined(other.cfg.Address)
+}
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -271,7 +271,9 @@
 		r.log.Info("drained failure domains committed", "index", drained.Index, "drained", drained.FailureDomains)
 	}
 	if quarantined.Index > r.quarantined.index {
+		previous := r.quarantined
 		r.quarantined, changed = activeParts(quarantined), true
+		r.settleEnded(time.Now(), previous)
 		r.log.Info("quarantined parts committed", "index", quarantined.Index, "parts", len(r.quarantined.parts))
 	}
 	if changed {
