quarantine: end the quarantine of a part that others know to be sound

Sound requests could stay refused: an entry reported the sound answers of a part only if it had itself seen a crash with it. A part whose sound requests went to other entries, between the crashes or while it was being quarantined, had nobody to speak for it.

Entries now report what they know of a part when they learn that it is quarantined, and each later sound answer. The leader ends a quarantine if, after the last sound answer, too few of its crashes are left; a sound answer before them all, or a registrar that has lost the crashes, does not end it.

TestIsRefuted, TestObservationsOfOthers, TestQuarantineRefuted.

--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -140,6 +140,30 @@
 // LastSound returns when a request with a part was last sound, or zero.
 func (e *Evidence) LastSound(part string) time.Time { return e.sound.get(part) }
 
+// IsRefuted reports whether a part was sound after crashes without which there is not
+// enough evidence against it. Entries report some sound answers only after a part is
+// quarantined.
+func (e *Evidence) IsRefuted(part string) bool {
+	all, since := 0, 0
+	var last time.Time
+	for _, c := range e.ordered() {
+		if !c.has(part) || (!last.IsZero() && c.at.Sub(last) < occasionLength) {
+			continue
+		}
+		last = c.at
+		all++
+		if c.at.After(e.sound.get(part)) {
+			since++
+		}
+	}
+	return all >= minCrashes && since < minCrashes
+}
+
+// ordered returns the crashes by their time.
+func (e *Evidence) ordered() []*crash {
+	return slices.SortedFunc(slices.Values(e.crashes), func(a, b *crash) int { return a.at.Compare(b.at) })
+}
+
 // Suspicion is the evidence against a part.
 type Suspicion struct {
 	Part string
@@ -202,8 +226,7 @@
 // suspicions returns the evidence of the crashes that count against each part.
 func (e *Evidence) suspicions(counts func(*crash) bool) []Suspicion {
 	byPart := map[string]*Suspicion{}
-	ordered := slices.SortedFunc(slices.Values(e.crashes), func(a, b *crash) int { return a.at.Compare(b.at) })
-	for _, c := range ordered {
+	for _, c := range e.ordered() {
 		if !counts(c) {
 			continue
 		}
--- a/internal/coordination/quarantine/evidence_test.go
+++ b/internal/coordination/quarantine/evidence_test.go
@@ -96,6 +96,38 @@
 	}
 }
 
+// TestIsRefuted guards against a quarantine that goes on although a sound answer
+// between the crashes is reported later, and against one that ends for a sound
+// answer before them or by a registrar that has lost the crashes.
+func TestIsRefuted(t *testing.T) {
+	tests := map[string]struct {
+		crashes int
+		sound   time.Duration // 0 if never
+		want    bool
+	}{
+		"never sound":         {3, 0, false},
+		"sound before":        {3, time.Millisecond, false},
+		"sound between":       {3, 1500 * time.Millisecond, true},
+		"sound after":         {3, 10 * time.Second, true},
+		"enough since":        {5, 2500 * time.Millisecond, false},
+		"crashes are unknown": {0, 10 * time.Second, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			e := NewEvidence()
+			for i := range test.crashes {
+				e.AddCrash(start.Add(time.Duration(i+1)*time.Second), Incarnation{fmt.Sprint(i), 1}, []string{"part"})
+			}
+			if test.sound > 0 {
+				e.AddSound(start.Add(test.sound), []string{"part"})
+			}
+			if got := e.IsRefuted("part"); got != test.want {
+				t.Errorf("%t, want %t", got, test.want)
+			}
+		})
+	}
+}
+
 // TestOrderOfReports guards against evidence that counts otherwise because it
 // arrives late, twice or in another order.
 func TestOrderOfReports(t *testing.T) {
--- a/internal/coordination/quarantine/guard.go
+++ b/internal/coordination/quarantine/guard.go
@@ -135,6 +135,14 @@
 			g.settle(now, part)
 		}
 	}
+	for part := range decided {
+		if _, known := g.decided[part]; known {
+			continue
+		}
+		if at := g.evidence.LastSound(part); !at.IsZero() {
+			g.observe(Observation{At: at, Parts: []string{part}})
+		}
+	}
 	g.decided = decided
 	g.cancelWatched(now)
 }
@@ -159,7 +167,7 @@
 	var settled []string
 	for _, part := range parts {
 		delete(g.local, part)
-		if g.unsettled[part] {
+		if _, refused := g.decided[part]; refused || g.unsettled[part] {
 			delete(g.unsettled, part)
 			settled = append(settled, part)
 		}
--- a/internal/coordination/quarantine/guard_test.go
+++ b/internal/coordination/quarantine/guard_test.go
@@ -133,6 +133,22 @@
 	}
 }
 
+// TestObservationsOfOthers guards against a sound part that stays quarantined because
+// the entry that knows better saw none of the crashes.
+func TestObservationsOfOthers(t *testing.T) {
+	g := NewGuard()
+	g.AddSound(start, []string{"good", "unrelated"})
+	decided := map[string]time.Time{"good": start.Add(time.Hour), "bad": start.Add(time.Hour)}
+	g.SetDecided(start.Add(time.Second), decided)
+	g.SetDecided(start.Add(2*time.Second), decided)
+	g.AddSound(start.Add(3*time.Second), []string{"good", "unrelated"})
+	want := []Observation{{Sequence: 1, At: start, Parts: []string{"good"}}, {Sequence: 2, At: start.Add(3 * time.Second), Parts: []string{"good"}}}
+	got, _ := g.Observations(0)
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // TestSettled guards against crashes that count again after a quarantine has ended,
 // at this entry or at a registrar that has lost them.
 func TestSettled(t *testing.T) {
--- a/internal/coordination/registrar/quarantine.go
+++ b/internal/coordination/registrar/quarantine.go
@@ -116,7 +116,7 @@
 		s := quarantine.Suspicion{Part: record.Part, LastSound: sound}
 		switch {
 		case !record.Active:
-		case !sound.IsZero() && registry.UnixMilliseconds(sound) > record.SinceMs:
+		case !sound.IsZero() && registry.UnixMilliseconds(sound) > record.SinceMs, r.evidence.IsRefuted(record.Part):
 			changes = append(changes, quarantineChange{action: registry.QuarantineChange_ACTION_CLEAR, suspicion: s})
 		case registry.UnixMilliseconds(now) >= record.UntilMs:
 			changes = append(changes, quarantineChange{action: registry.QuarantineChange_ACTION_EXPIRE, suspicion: s})
--- a/internal/coordination/registrar/quarantine_test.go
+++ b/internal/coordination/registrar/quarantine_test.go
@@ -126,6 +126,18 @@
 	g.quarantined(g.seeds[0], "bad")
 }
 
+// TestQuarantineRefuted guards against a quarantine that goes on although an entry
+// that saw none of the crashes reports a sound answer between them.
+func TestQuarantineRefuted(t *testing.T) {
+	g := newGroup(t, 3)
+	g.replace(g.any(), 1, "one")
+	g.report("e1", g.seeds, crashesApart("good")...)
+	g.report("e1", g.seeds, crashesApart("bad")...)
+	g.quarantined(g.seeds[0], "bad", "good")
+	g.report("e2", g.seeds, &peer.PromptEvidence{Parts: []string{"bad"}, AgeMs: 60_000}, &peer.PromptEvidence{Parts: []string{"good"}, AgeMs: 1_000})
+	g.quarantined(g.seeds[0], "bad")
+}
+
 // TestQuarantineEndedByOperator guards against a part whose quarantine an operator
 // has ended and that is quarantined again for the same crashes, also by the next
 // leader.
