quarantine: bound the ids of parts that are kept

A caller could make an entry hold hundreds of megabytes: it keeps thousands of ids of parts, each as long as a header allows.

Ids of more than 64 bytes are replaced by their hash, and half as many crashes are kept. Requests without parts are no longer watched.

--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -59,7 +59,7 @@
 	// maxEvidenceAge is how long a crash counts. Requests with a part may be rare.
 	maxEvidenceAge = time.Hour
 	// maxCrashes and maxPartsPerCrash bound the memory for crashes.
-	maxCrashes       = 512
+	maxCrashes       = 256
 	maxPartsPerCrash = 256
 	// maxSoundParts bounds the memory for parts that were sound; the ones that were
 	// not seen for longest are forgotten.
--- a/internal/coordination/quarantine/guard.go
+++ b/internal/coordination/quarantine/guard.go
@@ -108,6 +108,9 @@
 // Watch calls cancel as soon as one of the parts is quarantined, or at once if one
 // is. It returns a function that ends the watch.
 func (g *Guard) Watch(now time.Time, parts []string, cancel func()) (stop func()) {
+	if len(parts) == 0 {
+		return func() {}
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if _, refused := g.check(now, parts); refused {
--- a/internal/coordination/quarantine/prompt.go
+++ b/internal/coordination/quarantine/prompt.go
@@ -2,11 +2,19 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
-// maxParts bounds the parts of a prompt that are considered.
-const maxParts = 64
+const (
+	// maxParts bounds the parts of a prompt that are considered.
+	maxParts = 64
+	// maxIDBytes is the length from which on an id is replaced by its hash, as
+	// thousands of ids are kept.
+	maxIDBytes = 64
+)
 
 // Incarnation is one start of a backend server.
 type Incarnation struct {
@@ -20,7 +28,11 @@
 	var parts []string
 	for entry := range strings.SplitSeq(list, ",") {
 		id, _, _ := strings.Cut(strings.TrimSpace(entry), ":")
-		parts = append(parts, strings.ToLower(strings.TrimSpace(id)))
+		id = strings.ToLower(strings.TrimSpace(id))
+		if len(id) > maxIDBytes {
+			id = strconv.FormatUint(xxhash.Sum64String(id), 16)
+		}
+		parts = append(parts, id)
 	}
 	seen := map[string]bool{"": true}
 	return slices.DeleteFunc(parts[:min(len(parts)-1, maxParts)], func(id string) bool {
