registrar: repeat a call of the test while the leader changes

Only a call that was forwarded to a registrar that is not the leader any more gets this error: the test had looked up the leader before, and an election came between.

The refusal is allowed: nothing was done, and callers repeat it, as the tests of catalogs and drains do with every call. The test now repeats a call that is refused as unavailable; any other error, and a refusal that stays, still fails it.

--- a/internal/coordination/registrar/quarantine_test.go
+++ b/internal/coordination/registrar/quarantine_test.go
@@ -138,6 +138,20 @@
 	g.quarantined(g.seeds[0], "bad")
 }
 
+// clear ends a quarantine through a registrar, and repeats the call while the leader
+// changes.
+func (g *group) clear(n *node, part string) (res *peer.QuarantineResponse, err error) {
+	g.t.Helper()
+	g.eventually("clear "+part, func() error {
+		res, err = n.Quarantine(context.Background(), &peer.QuarantineRequest{Clear: part})
+		if fault.Is(peer.FromTwirp(err), fault.Unavailable) {
+			return err
+		}
+		return nil
+	})
+	return res, err
+}
+
 // TestQuarantineEndedByOperator guards against a part whose quarantine an operator
 // has ended and that is quarantined again for the same crashes, also by the next
 // leader.
@@ -157,11 +171,10 @@
 			other = n
 		}
 	}
-	if _, err := other.Quarantine(context.Background(), &peer.QuarantineRequest{Clear: "unknown"}); !fault.Is(peer.FromTwirp(err), fault.NotFound) {
+	if _, err := g.clear(other, "unknown"); !fault.Is(peer.FromTwirp(err), fault.NotFound) {
 		t.Errorf("an unknown part: %v", err)
 	}
-	res, err := other.Quarantine(context.Background(), &peer.QuarantineRequest{Clear: "good"})
-	if err != nil || len(res.Parts) != 0 {
+	if res, err := g.clear(other, "good"); err != nil || len(res.Parts) != 0 {
 		t.Fatalf("%v, error %v", res, err)
 	}
 	leader.TransferLeadership(context.Background())
