--- a/review/standin/plain.go
+++ b/review/standin/plain.go
@@ -35,14 +35,27 @@
 type spoiling int
 
 const (
-	sound      spoiling = iota
-	brokenOff           // in the middle of an event
-	endless             // bytes that are no answer come without end
-	tooMany             // 429 after the run, and no word that it was not run
-	eventPause = 30 * time.Millisecond
-	readWork   = 15 * time.Millisecond
+	sound       spoiling = iota
+	brokenOff            // in the middle of an event
+	endless              // a failure with a body without end
+	longFailure          // a failure with a body of longFailureBytes, which is complete
+	tooMany              // 429 after the run, and no word that it was not run
 )
 
+const (
+	eventPause       = 30 * time.Millisecond
+	readWork         = 15 * time.Millisecond
+	longFailureBytes = 3 << 19
+)
+
+// window is a disruption that comes again and again, for on at a time.
+type window struct {
+	begin   time.Time
+	on, off time.Duration
+}
+
+func (w window) now() bool { return time.Since(w.begin)%(w.on+w.off) < w.on }
+
 // start serves the runner and sends its heartbeats until ctx ends.
 func (r *runner) start(ctx context.Context, controls []string) error {
 	l, err := net.Listen("tcp", r.address)
@@ -95,6 +108,9 @@
 	switch {
 	case how == endless:
 		r.writeEndless(w, id)
+	case how == longFailure:
+		w.WriteHeader(http.StatusInternalServerError)
+		io.WriteString(w, strings.Repeat("failure ", longFailureBytes/8))
 	case how == tooMany:
 		time.Sleep(readWork)
 		w.WriteHeader(http.StatusTooManyRequests)
--- a/review/standin/promise.go
+++ b/review/standin/promise.go
@@ -8,20 +8,22 @@
 	"time"
 )
 
-// playPromise sends orders while one of three runners fails a part of its requests:
-// it runs them and answers 429, without Oleanderrack-Not-Executed. Clients repeat an
+// playPromise sends orders while, again and again for some seconds, one of eight
+// runners fails a part of its requests: it runs them and answers 429, without
+// Oleanderrack-Not-Executed. Clients repeat an
 // order once after a promise that it has not run.
 func playPromise(ctx context.Context, f *fleet, trouble bool) (bool, error) {
 	for zone := range 3 {
 		f.addFront(zone, true, "control", "entry")
 	}
-	runners := f.addRunners("desk", 3)
+	runners := f.addRunners("desk", 8)
 	var mu sync.Mutex
 	answers := 0
+	troubled := window{begin: time.Now(), on: 6500 * time.Millisecond, off: time.Second}
 	runners[0].spoil = func(*http.Request, int) spoiling {
 		mu.Lock()
 		defer mu.Unlock()
-		if answers++; trouble && answers%5 < 2 {
+		if answers++; trouble && troubled.now() && answers%5 < 2 {
 			return tooMany
 		}
 		return sound
@@ -83,4 +85,4 @@
 	return ran == 0, nil
 }
 
-const orderCount = 400
+const orderCount = 600
--- a/review/standin/resume.go
+++ b/review/standin/resume.go
@@ -9,10 +9,10 @@
 	"time"
 )
 
-// playResume sends streams while half of the runners spoil at most three in a
-// hundred of their answers: they break off streams, and where a stream that was
-// broken off is resumed at one of them, it sends bytes that are no answer without
-// end.
+// playResume sends streams while, again and again for some seconds, five of twelve
+// runners spoil at most 28 in a thousand of their answers: they break off streams, and where a stream that was
+// broken off is resumed at one of them, it fails, in turn with a body without end
+// and with a long one that is complete.
 func playResume(ctx context.Context, f *fleet, trouble bool) (bool, error) {
 	for zone := range 3 {
 		f.addFront(zone, true, "control", "entry")
@@ -20,7 +20,9 @@
 	runners := f.addRunners("pool", 12)
 	var mu sync.Mutex
 	broken := map[string]bool{}
-	for _, r := range runners[:len(runners)/2] {
+	failures := 0
+	troubled := window{begin: time.Now(), on: 5500 * time.Millisecond, off: time.Second}
+	for _, r := range runners[:spoilers] {
 		answers, spoilt := 0, 0
 		r.spoil = func(req *http.Request, last int) spoiling {
 			id := req.Header.Get("Oleanderrack-Request-Id")
@@ -28,9 +30,12 @@
 			defer mu.Unlock()
 			answers++
 			switch {
-			case !trouble || (spoilt+1)*100 > 3*answers:
+			case !trouble || !troubled.now() || (spoilt+1)*1000 > 28*answers:
 			case broken[id] && last > 0:
 				spoilt++
+				if failures++; failures%2 == 1 {
+					return longFailure
+				}
 				return endless
 			case last == 0 && (spoilt+1)*1000 <= 18*answers:
 				spoilt++
@@ -59,13 +64,16 @@
 			switch {
 			case r.status == http.StatusOK && len(r.foreign) > 0:
 				counts["streams with bytes of no event"]++
+				if r.complete {
+					counts["of these, ended as complete"]++
+				}
 			case r.status == http.StatusOK && r.complete && len(r.events) == resumeEvents:
 				counts["served"]++
 			default:
 				counts["failed or refused"]++
 			}
 		})
-		sleep(ctx, 16*time.Millisecond)
+		sleep(ctx, 10*time.Millisecond)
 	}
 	group.Wait()
 	if ctx.Err() != nil {
@@ -79,6 +87,7 @@
 }
 
 const (
-	resumeRequests = 3600
+	spoilers       = 5
+	resumeRequests = 6000
 	resumeEvents   = 20
 )
