--- a/review/standin/group.go
+++ b/review/standin/group.go
@@ -115,24 +115,27 @@
 		srv := &http.Server{Handler: k}
 		go srv.Serve(l)
 		context.AfterFunc(ctx, func() { srv.Close() })
-		go announce(ctx, k.id, controls, k.heartbeat)
+		go announce(ctx, g.record, k.id, controls, k.heartbeat)
 	}
 	go g.run(ctx)
 	return nil
 }
 
 // announce sends heartbeats to one control node, and to the next after a failure.
-func announce(ctx context.Context, id string, controls []string, body func() map[string]any) {
+func announce(ctx context.Context, rec *record, id string, controls []string, body func() map[string]any) {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{}}
 	for to := int(id[len(id)-1]); ctx.Err() == nil; {
 		data, _ := json.Marshal(body()) // cannot fail, the values are plain
 		url := "http://" + controls[to%len(controls)] + "/oleanderrack/instances/" + id + "/heartbeat"
 		res, err := client.Post(url, "application/json", strings.NewReader(string(data)))
+		status := 0
 		if err == nil {
 			io.Copy(io.Discard, res.Body)
 			res.Body.Close()
+			status = res.StatusCode
 		}
-		if err != nil || res.StatusCode/100 != 2 {
+		rec.add("runner %s: heartbeat at %s: status %d, error %v", id, controls[to%len(controls)], status, err)
+		if status/100 != 2 {
 			to++
 			sleep(ctx, 100*time.Millisecond)
 			continue
--- a/review/standin/plain.go
+++ b/review/standin/plain.go
@@ -66,7 +66,7 @@
 	srv := &http.Server{Handler: r}
 	go srv.Serve(l)
 	context.AfterFunc(ctx, func() { srv.Close() })
-	go announce(ctx, r.id, controls, r.heartbeat)
+	go announce(ctx, r.record, r.id, controls, r.heartbeat)
 	return nil
 }
 
--- a/review/standin/resume.go
+++ b/review/standin/resume.go
@@ -88,6 +88,6 @@
 
 const (
 	spoilers       = 5
-	resumeRequests = 6000
+	resumeRequests = 8800
 	resumeEvents   = 20
 )
