--- a/review/standin/resume.go
+++ b/review/standin/resume.go
@@ -28,9 +28,12 @@
 			id := req.Header.Get("Oleanderrack-Request-Id")
 			mu.Lock()
 			defer mu.Unlock()
+			if !trouble || !troubled.now() {
+				return sound
+			}
 			answers++
 			switch {
-			case !trouble || !troubled.now() || (spoilt+1)*1000 > 28*answers:
+			case (spoilt+1)*1000 > 28*answers:
 			case broken[id] && last > 0:
 				spoilt++
 				if failures++; failures%2 == 1 {
