ranks: release a group that a late hold order stops again

Cause: a hold that got no answer was executed after its group had been released. The group was idle, so that the held pass had not begun and the rank accepted it. The leader read the report (all ranks armed, one held), took the map version that it had stored for proof that the group was released, and did nothing, in every round.

Ruled out: a lost go order (it is accepted), a silent rank, a leader change.

Change: whether a group is released follows from the reports alone (all ranks armed for one pass, none held). One that is held is released with go, which is safe since all ranks switch at the same pass. The same assumption elsewhere: a late hold during the copies of the next change stopped the group until all ranks had copied, and is released at once where no arm order can exist; a go order that is refused no longer repeats for a pass that the rank does not hold; a pass that was ordered to go is not held again, since a copy of that go order may be executed while only some ranks are armed.

--- a/internal/coordination/ranks/change.go
+++ b/internal/coordination/ranks/change.go
@@ -81,6 +81,16 @@
 	heldPass     uint64
 	// armedPass is the pass for which a rank is armed, or 0.
 	armedPass uint64
+	// ReleasedPass is the latest pass that was ordered to go. No rank is armed for it
+	// after that, even if it is reported as held: the report may be older, or a copy
+	// of the go order may be executed later.
+	ReleasedPass uint64
+	// lateHold is the order that ends a reported hold of a pass up to ReleasedPass,
+	// or nil.
+	lateHold *RankOrder
+	// canRelease says that no rank is armed, and that none has prepared a map that
+	// a delayed arm order could refer to.
+	canRelease bool
 }
 
 type rankState struct {
@@ -108,6 +118,7 @@
 // hundred milliseconds old.
 func (c *Change) Observe(reports []Report) {
 	switched := 0
+	c.canRelease, c.lateHold = true, nil
 	for i, r := range reports {
 		if r.Epoch != c.Epoch || !r.Open {
 			c.stage = Lost
@@ -118,11 +129,16 @@
 		if r.ArmedVersion == c.Target.Version {
 			rank.armed, c.armedPass = true, r.ArmedPass
 		}
+		isOtherPrepared := r.PreparedVersion > 0 && r.PreparedVersion != r.MapVersion && r.PreparedVersion != c.Target.Version
+		c.canRelease = c.canRelease && r.ArmedVersion == 0 && !isOtherPrepared
 		c.latestPass = max(c.latestPass, r.Pass)
 		if r.MapVersion == c.Target.Version {
 			switched++
 		}
-		if r.IsHeld && c.holdingRank < 0 {
+		switch {
+		case r.IsHeld && r.HeldPass <= c.ReleasedPass:
+			c.lateHold = &RankOrder{Rank: i, Order: Go{Pass: r.HeldPass}}
+		case r.IsHeld && c.holdingRank < 0:
 			c.holdingRank, c.heldPass = i, r.HeldPass
 		}
 	}
@@ -136,8 +152,17 @@
 	switch {
 	case c.stage == Lost || c.stage == Switched:
 		return nil
+	case c.lateHold != nil && c.all(isArmed):
+		c.stage = Going
+		return []RankOrder{*c.lateHold}
+	case c.lateHold != nil && c.canRelease && c.stage < Arming:
+		return []RankOrder{*c.lateHold}
 	case !c.all(func(s rankState) bool { return s.prepared }):
 		c.stage = Preparing
+		if c.holdingRank >= 0 && c.canRelease && c.armedPass == 0 {
+			// A delayed hold, which would last until all ranks have copied.
+			return []RankOrder{{Rank: c.holdingRank, Order: Go{Pass: c.heldPass}}}
+		}
 		return c.prepare(now)
 	case c.holdingRank < 0 && c.armedPass > 0:
 		return c.resumeArming()
@@ -149,8 +174,9 @@
 		if !c.all(func(s rankState) bool { return s.answersOrders(now) }) {
 			return nil
 		}
-		return []RankOrder{{Rank: 0, Order: Hold{Pass: c.latestPass + holdLead + c.refusedHolds*holdLeadStep}}}
-	case !c.all(func(s rankState) bool { return s.armed }):
+		pass := c.latestPass + holdLead + c.refusedHolds*holdLeadStep
+		return []RankOrder{{Rank: 0, Order: Hold{Pass: max(pass, c.ReleasedPass+1)}}}
+	case !c.all(isArmed):
 		c.stage = Arming
 		return c.arm()
 	}
@@ -184,13 +210,15 @@
 // resumeArming continues a change of an earlier leader that has armed some ranks.
 // If all are armed, the group was released and has not reached the pass yet.
 func (c *Change) resumeArming() []RankOrder {
-	if c.all(func(s rankState) bool { return s.armed }) {
+	if c.all(isArmed) {
 		return nil
 	}
 	c.stage = Arming
 	return []RankOrder{{Rank: 0, Order: Hold{Pass: c.armedPass}}}
 }
 
+func isArmed(s rankState) bool { return s.armed }
+
 func (c *Change) all(condition func(rankState) bool) bool {
 	for _, s := range c.ranks {
 		if !condition(s) {
@@ -251,8 +279,18 @@
 	case Arm:
 		s.armed = s.armed || result == Accepted
 	case Go:
-		if result == Accepted {
+		c.ReleasedPass = max(c.ReleasedPass, o.Pass)
+		c.lateHold = nil
+		switch {
+		case result == Unanswered:
+		case c.stage == Going && result == Accepted:
 			c.stage = Switched
+		default:
+			// The rank no longer holds this pass. Reports show whether it holds
+			// another one.
+			if c.holdingRank == order.Rank && c.heldPass == o.Pass {
+				c.holdingRank = -1
+			}
 		}
 	}
 }
@@ -275,6 +313,18 @@
 	return version
 }
 
+// IsReleased reports whether all ranks are armed for the same pass and none is held,
+// so that the group switches at that pass without further orders. A hold that is
+// executed late makes this false again.
+func IsReleased(reports []Report) bool {
+	for _, r := range reports {
+		if r.IsHeld || r.ArmedVersion == 0 || r.ArmedVersion != reports[0].ArmedVersion || r.ArmedPass != reports[0].ArmedPass {
+			return false
+		}
+	}
+	return true
+}
+
 // ReleaseOrders returns the orders that release a group that is held while no rank
 // is armed, such as after a delayed hold.
 func ReleaseOrders(reports []Report) []RankOrder {
--- a/internal/coordination/ranks/change_test.go
+++ b/internal/coordination/ranks/change_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	ranks     []simulatedRank
 	delayed   []RankOrder
 	violation string // describes a pass that ran with two maps
+	trace     []string
 }
 
 type simulatedRank struct {
@@ -26,6 +28,14 @@
 }
 
 func (g *simulatedGroup) apply(order RankOrder) Result {
+	result := g.execute(order)
+	if _, ok := order.Order.(Probe); !ok {
+		g.trace = append(g.trace, fmt.Sprintf("pass %d: rank %d: %T%+v: %v", g.pass, order.Rank, order.Order, order.Order, result))
+	}
+	return result
+}
+
+func (g *simulatedGroup) execute(order RankOrder) Result {
 	r := &g.ranks[order.Rank]
 	switch o := order.Order.(type) {
 	case Prepare:
@@ -95,8 +105,7 @@
 		now := time.Unix(1000, 0)
 		var history [][]Report
 		firstReport := 0 // the first report that the current leader may use
-		version := uint64(0)
-		var c *Change
+		l := &simulatedLeader{}
 		for range rapid.IntRange(50, 300).Draw(t, "steps") {
 			now = now.Add(50 * time.Millisecond)
 			history = append(history, g.reports())
@@ -111,55 +120,73 @@
 				}
 			case 4:
 				if rapid.IntRange(0, 5).Draw(t, "replaced") == 0 {
-					c, firstReport = nil, len(history) // the leader changes
+					l, firstReport = &simulatedLeader{version: l.version}, len(history) // the leader changes
+					g.trace = append(g.trace, "the leader changes")
 				}
 			default:
 				at := len(history) - 1 - rapid.IntRange(0, 3).Draw(t, "age")
 				if at < firstReport {
 					continue
 				}
-				reports := history[at]
-				c, version = runStep(t, g, c, reports, version, now, true)
+				if l.runStep(t, g, history[at], now, true) {
+					firstReport = len(history) // after settleTime
+				}
 			}
 			if g.violation != "" {
-				t.Fatal(g.violation)
+				t.Fatalf("%s\n%s", g.violation, strings.Join(g.trace, "\n"))
 			}
 		}
 		// Once orders are answered again, any started change ends and passes continue.
 		for range 20 {
 			now = now.Add(stableTime)
-			c, version = runStep(t, g, c, g.reports(), version, now, false)
+			l.runStep(t, g, g.reports(), now, false)
 			g.advance()
 		}
 		before := g.pass
 		for range 3 {
+			now = now.Add(stableTime)
 			g.advance()
-			c, version = runStep(t, g, c, g.reports(), version, now.Add(stableTime), false)
+			l.runStep(t, g, g.reports(), now, false)
 		}
-		if g.violation != "" || (g.pass == before && c == nil) {
-			t.Fatalf("pass %d, was %d before the last 3 rounds, violation %q, ranks %+v, version %d", g.pass, before, g.violation, g.ranks, version)
+		if g.violation != "" || g.pass == before {
+			t.Fatalf("pass %d, was %d before the last 3 rounds, violation %q, ranks %+v, version %d", g.pass, before, g.violation, g.ranks, l.version)
 		}
 	})
 }
 
+// simulatedLeader is a leader that changes the map of one group over and over.
+type simulatedLeader struct {
+	change   *Change
+	version  uint64
+	released uint64 // the latest pass that this leader has ordered to go
+}
+
 // runStep acts as the leader does in one round: it takes over, starts or continues a
-// change.
-func runStep(t *rapid.T, g *simulatedGroup, c *Change, reports []Report, version uint64, now time.Time, lossy bool) (*Change, uint64) {
-	if c == nil {
-		if v := UnfinishedVersion(reports); v > 0 {
-			c = NewChange(g.epoch, Target{Version: v}, len(g.ranks))
-		} else if release := ReleaseOrders(reports); len(release) > 0 {
+// change. It reports whether it has released the group.
+func (l *simulatedLeader) runStep(t *rapid.T, g *simulatedGroup, reports []Report, now time.Time, lossy bool) bool {
+	if l.change == nil {
+		target := Target{Version: UnfinishedVersion(reports)}
+		release := ReleaseOrders(reports)
+		switch {
+		case IsReleased(reports):
+			return false
+		case target.Version > 0:
+		case len(release) > 0:
 			for _, order := range release {
-				g.apply(order)
+				l.released = max(l.released, order.Order.(Go).Pass)
+				g.send(t, order, lossy)
 			}
-			return nil, version
-		} else if isSettled(reports) {
-			version++
-			c = NewChange(g.epoch, Target{Version: version, Map: Map{}}, len(g.ranks))
-		} else {
-			return nil, version
+			return true
+		case isSettled(reports):
+			l.version++
+			target = Target{Version: l.version, Map: Map{}}
+		default:
+			return false
 		}
+		l.change = NewChange(g.epoch, target, len(g.ranks))
+		l.change.ReleasedPass = l.released
 	}
+	c := l.change
 	c.Observe(reports)
 	for range maxOrderRounds {
 		orders := c.Next(now)
@@ -168,14 +195,7 @@
 		}
 		answered := true
 		for _, order := range orders {
-			result := Unanswered
-			if !lossy || rapid.IntRange(0, 3).Draw(t, "answer") > 0 {
-				result = g.apply(order)
-			} else if rapid.Bool().Draw(t, "executed later") {
-				g.delayed = append(g.delayed, order)
-			} else {
-				g.apply(order) // only the answer is lost
-			}
+			result := g.send(t, order, lossy)
 			c.HandleResult(now, order, result)
 			answered = answered && result != Unanswered
 		}
@@ -183,10 +203,26 @@
 			break
 		}
 	}
+	l.released = max(l.released, c.ReleasedPass)
 	if c.Stage() == Switched || c.Stage() == Lost {
-		return nil, version
+		l.change = nil
+	}
+	return l.change == nil
+}
+
+// send has a rank execute an order. If lossy is set, the order may be executed later,
+// or its answer be lost.
+func (g *simulatedGroup) send(t *rapid.T, order RankOrder, lossy bool) Result {
+	switch {
+	case !lossy || rapid.IntRange(0, 3).Draw(t, "answer") > 0:
+		return g.apply(order)
+	case rapid.Bool().Draw(t, "executed later"):
+		g.delayed = append(g.delayed, order)
+		g.trace = append(g.trace, fmt.Sprintf("pass %d: rank %d: %T%+v: will be executed later", g.pass, order.Rank, order.Order, order.Order))
+	default:
+		g.apply(order) // only the answer is lost
 	}
-	return c, version
+	return Unanswered
 }
 
 // TestManyRanks guards against a change of a large group that waits until all ranks
--- a/internal/coordination/ranks/rebalancer.go
+++ b/internal/coordination/ranks/rebalancer.go
@@ -73,11 +73,15 @@
 	changes        map[string]*activeChange // by group
 	lastEnded      map[string]time.Time     // end of the last change, by group
 	lastReportRead map[string]time.Time     // last read of the reports outside a change, by group
+	released       map[string]releasedPass  // by group
 	versionCount   uint64
 	term           uint64
 	leaderSince    time.Time
 }
 
+// releasedPass is the latest pass of an epoch that was ordered to go.
+type releasedPass struct{ epoch, pass uint64 }
+
 // activeChange is a change in progress.
 type activeChange struct {
 	*Change
@@ -91,6 +95,7 @@
 	b := &Rebalancer{
 		cfg: cfg, log: log, scope: scope,
 		popularity: map[string]*popularity{}, maps: map[string]mapState{}, changes: map[string]*activeChange{}, lastEnded: map[string]time.Time{}, lastReportRead: map[string]time.Time{},
+		released: map[string]releasedPass{},
 	}
 	go func() {
 		var lastPlanned time.Time
@@ -187,12 +192,13 @@
 // takeOver continues an unfinished change of an earlier leader, or releases a group
 // that a delayed order has held. It reports whether there was either.
 func (b *Rebalancer) takeOver(ctx context.Context, g Group, reports []Report) bool {
+	if IsReleased(reports) {
+		return true
+	}
 	if version := UnfinishedVersion(reports); version > 0 {
-		if cached := b.maps[g.Name]; cached.epoch == g.Epoch && cached.version == version {
-			// The group was released and has not reached the pass yet.
-			return true
-		}
-		b.log.Warn("map change taken over", "group", g.Name, "epoch", g.Epoch, "version", version)
+		held := slices.IndexFunc(reports, func(r Report) bool { return r.IsHeld })
+		b.log.Warn("map change taken over", "group", g.Name, "epoch", g.Epoch, "version", version, "held_rank", held,
+			"pass", reports[0].Pass, "armed_ranks", countArmed(reports), "ranks", len(reports))
 		b.startChange(g, Target{Version: version}, reports)
 		return true
 	}
@@ -201,10 +207,33 @@
 		return false
 	}
 	b.log.Warn("releasing held group", "group", g.Name, "epoch", g.Epoch, "pass", reports[orders[0].Rank].HeldPass)
-	b.sendOrders(ctx, g, &activeChange{Change: NewChange(g.Epoch, Target{}, len(g.Ranks))}, orders)
+	release := &activeChange{Change: NewChange(g.Epoch, Target{}, len(g.Ranks))}
+	b.sendOrders(ctx, g, release, orders)
+	b.recordRelease(g, release)
 	return true
 }
 
+func countArmed(reports []Report) int {
+	armed := 0
+	for _, r := range reports {
+		if r.ArmedVersion > 0 {
+			armed++
+		}
+	}
+	return armed
+}
+
+// recordRelease keeps the latest pass of a group that was ordered to go, for its
+// next change.
+func (b *Rebalancer) recordRelease(g Group, c *activeChange) {
+	last := b.released[g.Name]
+	if last.epoch != c.Epoch {
+		last = releasedPass{epoch: c.Epoch}
+	}
+	last.pass = max(last.pass, c.ReleasedPass)
+	b.released[g.Name] = last
+}
+
 // isSettled reports whether all ranks use the same map and none is held or armed.
 func isSettled(reports []Report) bool {
 	return !slices.ContainsFunc(reports, func(r Report) bool {
@@ -215,6 +244,9 @@
 // startChange starts a change from the latest reports of the ranks.
 func (b *Rebalancer) startChange(g Group, target Target, reports []Report) {
 	c := &activeChange{Change: NewChange(g.Epoch, target, len(g.Ranks)), started: time.Now(), lastReportRead: time.Now()}
+	if last := b.released[g.Name]; last.epoch == g.Epoch {
+		c.ReleasedPass = last.pass
+	}
 	c.Observe(reports)
 	b.changes[g.Name] = c
 }
@@ -255,6 +287,7 @@
 
 func (b *Rebalancer) endChange(g Group, c *activeChange, stage Stage) {
 	delete(b.changes, g.Name)
+	b.recordRelease(g, c)
 	b.lastEnded[g.Name] = time.Now()
 	if stage == Switched && c.Target.Map != nil {
 		b.maps[g.Name] = mapState{epoch: c.Epoch, version: c.Target.Version, content: c.Target.Map}
--- a/internal/coordination/ranks/rebalancer_test.go
+++ b/internal/coordination/ranks/rebalancer_test.go
@@ -100,3 +100,83 @@
 		t.Error("the group was held although a rank does not answer")
 	}
 }
+
+// lateHoldClient is a client of an idle group that leaves the first hold order
+// unanswered and executes it once the group has been released.
+type lateHoldClient struct {
+	fakeClient
+	late []RankOrder
+}
+
+func (f *lateHoldClient) Report(_ context.Context, to Rank) (Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.engine.reports()[f.index(to)]
+	r.Requests = 12
+	return r, nil
+}
+
+func (f *lateHoldClient) Order(_ context.Context, to Rank, _ uint64, order Order) (Result, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	o := RankOrder{Rank: f.index(to), Order: order}
+	switch order.(type) {
+	case Hold:
+		if f.held.IsZero() {
+			f.held, f.late = time.Now(), append(f.late, o)
+			return Unanswered, errNoAnswer
+		}
+	case Go:
+		result := f.engine.apply(o)
+		for _, late := range f.late {
+			f.engine.apply(late)
+		}
+		f.late = nil
+		return result, nil
+	}
+	return f.engine.apply(o), nil
+}
+
+// TestLateHoldOfReleasedGroup guards against a hold order that is executed after its
+// group was released and stops the group for good (review/2): the group was idle, so
+// that the held pass had not begun.
+func TestLateHoldOfReleasedGroup(t *testing.T) {
+	f := &lateHoldClient{fakeClient: fakeClient{engine: &simulatedGroup{epoch: 1, pass: 100, ranks: make([]simulatedRank, 4)}}}
+	group := Group{Name: "g", Service: "pool", Epoch: 1, Ranks: []Rank{{ID: "0"}, {ID: "1"}, {ID: "2"}, {ID: "3"}}}
+	New(t.Context(), Config{
+		Client: f,
+		Groups: func() []Group { return []Group{group} },
+		Spec: func(string) (catalog.Experts, bool) {
+			return catalog.Experts{Sets: 1, ExpertsPerSet: 8, Slots: 12, MaxExpertsPerRank: 4, MaxNewExperts: 2}, true
+		},
+		ConfirmLeadership: func(context.Context) (uint64, error) { return 1, nil },
+	}, hclog.NewNullLogger(), tally.NoopScope)
+	isHeldAgain := func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return !f.held.IsZero() && f.late == nil
+	}
+	for deadline := time.Now().Add(20 * time.Second); !isHeldAgain(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no group was released within 20 s")
+		}
+	}
+	// Requests arrive: the group starts passes up to the one that is held.
+	const bound = 2 * time.Second // callers abandon a stream without events after it
+	passes := func() uint64 {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.engine.advance()
+		return f.engine.pass
+	}
+	for deadline := time.Now().Add(bound); passes() < 100+4*holdLead; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("the group is still at pass %d after %v, ranks %+v", f.engine.pass, bound, f.engine.ranks)
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.engine.violation != "" || f.engine.ranks[0].version == 0 {
+		t.Errorf("violation %q, map in use %d", f.engine.violation, f.engine.ranks[0].version)
+	}
+}
