directory: keep announcements of services that the catalog does not list apart

Cause: a registrar accepted an announcement of any service. The table gave the address to the later start time and marked the owner as gone with the highest sequence number there is, so that no later announcement of the owner counted, at registrars and, without an end, in the tables of entries. The same holds for an announcement under the id of a sound backend server.

Ruled out: that heartbeats are lost or refused (each is acknowledged with 200); the choice of servers in package pool.

Change: the table knows the services of the newest catalog. An announcement of another service displaces nothing and is kept apart, at registrars and in entries, until a catalog lists its service: backend servers may announce themselves before that. One whose service was removed is still heard, so that its drain counts for entries with an older catalog. An owner that loses its address keeps its sequence number: when the newcomer falls silent for a minute without a deregistration and the owner still announces itself, it was no backend server, and the owner returns.

Tests of the table now list the service that they announce.

--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -361,6 +361,7 @@
 	r.entries, r.entryIndex = res.Entries, res.EntryIndex
 	if index != nil && (f.index == nil || index.Catalog.Version > f.index.Catalog.Version) {
 		f.index, changed = index, true
+		f.table.SetServices(now, index.ServiceNames())
 		f.log.Info("catalog adopted", "version", index.Catalog.Version, "routes", len(index.Catalog.Routes), "from", address)
 	}
 	if res.DrainIndex > f.drainIndex {
--- a/internal/coordination/registrar/follow.go
+++ b/internal/coordination/registrar/follow.go
@@ -242,8 +242,8 @@
 			connected = true
 		}
 		req.Epoch, req.Since = res.Epoch, res.Version
-		r.apply("registrar", res.Announcements...)
 		r.recordResponse(res)
+		r.apply("registrar", res.Announcements...)
 	}
 }
 
@@ -261,6 +261,9 @@
 
 // recordResponse records the state of the group that another registrar reported.
 func (r *Registrar) recordResponse(res *peer.FollowResponse) {
+	if r.cfg.Folder == "" && len(res.Catalog) > 0 {
+		r.listServices(registry.Catalog{Version: res.CatalogVersion, Data: res.Catalog})
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(res.Members) > 0 {
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -84,6 +84,9 @@
 	Bootstrap bool
 	// Voters is the number of voters that the group should have.
 	Voters int
+	// Services returns the names of the services that a catalog lists. Backend
+	// servers of others are not passed on.
+	Services func(catalog []byte) ([]string, error)
 }
 
 // Registrar is one registrar of a deployment. Its methods are safe for
@@ -104,8 +107,10 @@
 	changed chan struct{} // closed at the next change
 	entries map[string]*entryState
 	// catalog and drained are the newest seen, also while the log is closed.
-	catalog registry.Catalog
-	drained registry.DrainedDomains
+	// listedVersion is the version of the catalog whose services table lists.
+	catalog       registry.Catalog
+	listedVersion uint64
+	drained       registry.DrainedDomains
 	// quarantined is the newest seen, and evidence is what entries have observed.
 	quarantined quarantinedParts
 	evidence    *quarantine.Evidence
@@ -137,8 +142,8 @@
 
 // New starts a registrar, which runs until ctx ends.
 func New(ctx context.Context, cfg Config, log hclog.Logger, scope tally.Scope) (*Registrar, error) {
-	if cfg.Address == "" || cfg.Cluster == "" || cfg.Voters < 1 {
-		return nil, fault.New(fault.BadSettings, "registrar: address, cluster and at least one voter are required")
+	if cfg.Address == "" || cfg.Cluster == "" || cfg.Voters < 1 || cfg.Services == nil {
+		return nil, fault.New(fault.BadSettings, "registrar: address, cluster, at least one voter and a decoder of services are required")
 	}
 	r := &Registrar{
 		ctx: ctx, cfg: cfg, log: log, scope: scope,
@@ -198,12 +203,45 @@
 		return err
 	}
 	changed := r.apply("announcer", a)
-	if changed && a.State != peer.BackendState_BACKEND_STATE_READY {
+	// Another registrar may know a newer catalog, which lists the service.
+	if a.State != peer.BackendState_BACKEND_STATE_READY && (changed || !r.isListed(a.Service)) {
 		r.broadcast(ctx, a)
 	}
 	return nil
 }
 
+func (r *Registrar) isListed(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return service == "" || r.table.IsListed(service)
+}
+
+// listServices applies the services of a catalog to the table unless those of a
+// newer one were.
+func (r *Registrar) listServices(catalog registry.Catalog) {
+	r.mu.Lock()
+	known := r.listedVersion >= catalog.Version
+	r.mu.Unlock()
+	if known {
+		return
+	}
+	names, err := r.cfg.Services(catalog.Data)
+	if err != nil {
+		r.log.Error("services of a catalog cannot be decoded", "version", catalog.Version, "error", err)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.listedVersion >= catalog.Version {
+		return
+	}
+	r.listedVersion = catalog.Version
+	if r.table.SetServices(time.Now(), names) {
+		r.log.Info("kept announcements applied", "version", catalog.Version, "services", len(names))
+		r.wakeFollowers()
+	}
+}
+
 func checkAnnouncement(a *peer.Announcement) error {
 	if a.Id == "" || a.State == peer.BackendState_BACKEND_STATE_UNSPECIFIED {
 		return fault.New(fault.BadRequest, "announcement without id or state")
@@ -225,6 +263,11 @@
 	changed := false
 	for _, a := range announcements {
 		if !r.table.Apply(now, a) {
+			if a.Service != "" && !r.table.IsListed(a.Service) {
+				r.scope.Counter("announcements_unlisted").Inc(1)
+				r.log.Debug("announcement of a service that the catalog does not list", "backend_server", a.Id, "service", a.Service, "address", a.Address,
+					"catalog_version", r.listedVersion, "source", source)
+			}
 			continue
 		}
 		changed = true
@@ -259,6 +302,7 @@
 // onCommit is called after commands have been applied.
 func (r *Registrar) onCommit(state *registry.Registry) {
 	catalog, drained, quarantined := state.Catalog(), state.Drained(), state.Quarantine()
+	r.listServices(catalog)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changed := false
--- a/internal/coordination/registrar/registrar_test.go
+++ b/internal/coordination/registrar/registrar_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -63,6 +64,7 @@
 	r, err := New(ctx, Config{
 		Cluster: "test", Address: address, FailureDomain: "fes", Folder: folder,
 		Seeds: func() []string { return g.seeds }, Bootstrap: bootstrap, Voters: len(g.seeds),
+		Services: func([]byte) ([]string, error) { return []string{"pool"}, nil },
 	}, hclog.NewNullLogger(), tally.NoopScope)
 	if err != nil {
 		g.t.Fatal(err)
@@ -283,9 +285,11 @@
 		Id: "s1", BornMs: 1, Sequence: 1, Service: "pool", Address: "127.0.0.1:9", FailureDomain: "fes", State: peer.BackendState_BACKEND_STATE_READY,
 	}
 	first := g.nodes[g.seeds[0]]
+	// The catalog that lists the service comes after the announcement.
 	if err := first.Announce(ctx, a); err != nil {
 		t.Fatal(err)
 	}
+	g.replace(first, 1, "one")
 	for _, n := range g.nodes {
 		g.eventually("receive the announcement", func() error { return checkListed(n, 1) })
 	}
@@ -314,6 +318,41 @@
 	}
 }
 
+// TestForeignAnnouncement guards against an announcement of another writer, whose
+// service the catalog does not list, that displaces a sound backend server for good
+// at any registrar (review/3).
+func TestForeignAnnouncement(t *testing.T) {
+	g := newGroup(t, 3)
+	ctx := context.Background()
+	first, last := g.nodes[g.seeds[0]], g.nodes[g.seeds[2]]
+	g.replace(first, 1, "one")
+	announce := func(n *node, id, service string, born, sequence uint64) {
+		t.Helper()
+		a := &peer.Announcement{
+			Id: id, BornMs: born, Sequence: sequence, Service: service, Address: "127.0.0.1:9", FailureDomain: "fes", State: peer.BackendState_BACKEND_STATE_READY,
+		}
+		if err := n.Announce(ctx, a); err != nil {
+			t.Fatal(err)
+		}
+	}
+	announce(first, "s1", "pool", 1, 1)
+	announce(first, "other", "unknown", 2, 1)
+	announce(last, "s1", "unknown", 3, 99)
+	announce(last, "s1", "pool", 1, 2)
+	for _, n := range g.nodes {
+		g.eventually("list the own announcement", func() error {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			var got []string
+			n.table.Entries(func(e *directory.Entry) { got = append(got, e.Announcement.Id+" "+e.Announcement.Service) })
+			if diff := cmp.Diff([]string{"s1 pool"}, got); diff != "" {
+				return errors.New(diff)
+			}
+			return nil
+		})
+	}
+}
+
 func checkListed(n *node, want int) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/state/directory/directory.go
+++ b/internal/state/directory/directory.go
@@ -7,7 +7,12 @@
 carries a sequence number that increases with each one. Late and duplicate
 announcements change nothing: the newest incarnation of an id and its highest
 sequence number take precedence, and an incarnation that is gone stays gone. An
-address belongs to the incarnation that started last.
+address belongs to the incarnation that started last, unless that one has fallen
+silent while an earlier one still announces itself.
+
+Announcements may come from other writers. One of a service that the catalog does
+not list displaces nothing; it is kept apart until the catalog lists the service,
+since a backend server may announce itself before.
 
 The table numbers its changes, so that a follower receives only those that it
 lacks. A backend server that stops announcing stays listed for a while: it may
@@ -16,13 +21,16 @@
 # Use
 
 	table := directory.New()
+	changed := table.SetServices(now, names)
 	changed := table.Apply(now, announcement)
 	changes := table.Since(now, version)
 */
 package directory
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -46,6 +54,9 @@
 	// followers receive. Announcements arrive about once a second and each gives
 	// the remaining time in milliseconds.
 	minColdChange = 100 * time.Millisecond
+	// maxUnlisted bounds the announcements of services that are not listed. At a
+	// start, those of all backend servers arrive before the catalog.
+	maxUnlisted = 4096
 )
 
 // finalSequence is the sequence number of an incarnation that has ended, above any
@@ -71,13 +82,80 @@
 	version   uint64
 	entries   map[string]*Entry // by id
 	addresses map[string]string // id by address
+	services  map[string]bool
+	unlisted  map[unlistedKey]*Entry
 }
 
-// New returns an empty table.
+// unlistedKey names an incarnation of a service that is not listed. An id of which
+// two services are announced has two keys.
+type unlistedKey struct{ id, service string }
+
+// New returns an empty table, in which no service is listed.
 func New() *Table {
 	// Versions start at 1, so that a follower's first request, with version 0,
 	// gets all entries.
-	return &Table{version: 1, entries: map[string]*Entry{}, addresses: map[string]string{}}
+	return &Table{version: 1, entries: map[string]*Entry{}, addresses: map[string]string{}, unlisted: map[unlistedKey]*Entry{}}
+}
+
+// SetServices sets the services that the catalog lists, applies the announcements
+// of them that were kept apart, and reports whether one changed the table. Backend
+// servers of a service that is no longer listed stay until they end or are silent.
+func (t *Table) SetServices(now time.Time, names []string) bool {
+	t.services = make(map[string]bool, len(names))
+	for _, name := range names {
+		t.services[name] = true
+	}
+	var kept []*Entry
+	for key, e := range t.unlisted {
+		if t.services[key.service] {
+			kept = append(kept, e)
+			delete(t.unlisted, key)
+		}
+	}
+	slices.SortFunc(kept, func(a, b *Entry) int { return cmp.Compare(a.Announcement.BornMs, b.Announcement.BornMs) })
+	changed := false
+	for _, e := range kept {
+		changed = t.Apply(now, e.announcementAt(now)) || changed
+	}
+	return changed
+}
+
+// IsListed reports whether the catalog lists a service.
+func (t *Table) IsListed(service string) bool { return t.services[service] }
+
+// keepUnlisted keeps an announcement of a service that is not listed.
+func (t *Table) keepUnlisted(received time.Time, a *peer.Announcement) {
+	key := unlistedKey{id: a.Id, service: a.Service}
+	old := t.unlisted[key]
+	if old != nil && !isNewer(a, old.Announcement) {
+		return
+	}
+	if old == nil && len(t.unlisted) >= maxUnlisted {
+		t.dropOldestUnlisted()
+	}
+	e := &Entry{Announcement: a, Received: received}
+	t.unlisted[key] = e
+}
+
+func (t *Table) dropOldestUnlisted() {
+	var oldest unlistedKey
+	var received time.Time
+	for key, e := range t.unlisted {
+		if received.IsZero() || e.Received.Before(received) {
+			oldest, received = key, e.Received
+		}
+	}
+	delete(t.unlisted, oldest)
+}
+
+// endUnlisted applies a deregistration to what is kept apart.
+func (t *Table) endUnlisted(received time.Time, a *peer.Announcement) {
+	for key, e := range t.unlisted {
+		if key.id == a.Id && isNewer(a, e.Announcement) {
+			ended := withState(e.Announcement, peer.BackendState_BACKEND_STATE_GONE, finalSequence)
+			t.unlisted[key] = &Entry{Announcement: ended, Received: received}
+		}
+	}
 }
 
 // Version returns the number of the last change.
@@ -91,9 +169,17 @@
 	if a.State == peer.BackendState_BACKEND_STATE_GONE && a.Address == "" {
 		a = clone(a)
 		a.Sequence = finalSequence
+		t.endUnlisted(received, a)
 	}
 	old := t.entries[a.Id]
-	if old != nil && !isNewer(a, old.Announcement) {
+	// A backend server whose service was removed from the catalog may still get
+	// requests by an older one, and its drain must be known.
+	isKnown := a.Address == "" || t.services[a.Service] || (old != nil && old.Announcement.Service == a.Service)
+	if !isKnown {
+		t.keepUnlisted(received, a)
+		return false
+	}
+	if old != nil && !isNewer(a, old.Announcement) && !(old.isSilent() && a.BornMs != old.Announcement.BornMs) {
 		return false
 	}
 	if a.State == peer.BackendState_BACKEND_STATE_GONE && a.Address == "" {
@@ -103,7 +189,7 @@
 		}
 		a = withState(old.Announcement, peer.BackendState_BACKEND_STATE_GONE, finalSequence)
 	}
-	if owner := t.addressOwner(a); owner != nil && startedAfter(owner.Announcement, a) {
+	if owner := t.addressOwner(a); owner != nil && startedAfter(owner.Announcement, a) && !owner.isSilent() {
 		return false
 	}
 	e := &Entry{Announcement: a, Received: received}
@@ -135,15 +221,22 @@
 	return t.entries[id]
 }
 
+// isSilent reports whether an incarnation is gone because it has fallen silent or
+// lost its address, and not because it has deregistered.
+func (e *Entry) isSilent() bool {
+	return e.Announcement.State == peer.BackendState_BACKEND_STATE_GONE && e.Announcement.Sequence != finalSequence
+}
+
 // takeAddress makes an incarnation the owner of its address and marks the
-// previous owner as gone.
+// previous owner as gone. Its sequence number stays: if the new owner falls silent
+// and the previous one still announces itself, the new one was no backend server.
 func (t *Table) takeAddress(now time.Time, e *Entry) {
 	if e.Announcement.State == peer.BackendState_BACKEND_STATE_GONE {
 		return
 	}
 	if owner := t.addressOwner(e.Announcement); owner != nil && owner.Announcement.State != peer.BackendState_BACKEND_STATE_GONE {
 		t.version++
-		gone := withState(owner.Announcement, peer.BackendState_BACKEND_STATE_GONE, finalSequence)
+		gone := withState(owner.Announcement, peer.BackendState_BACKEND_STATE_GONE, owner.Announcement.Sequence)
 		t.entries[gone.Id] = &Entry{Announcement: gone, Received: now, changed: t.version}
 	}
 	t.addresses[e.Announcement.Address] = e.Announcement.Id
@@ -158,6 +251,8 @@
 			changes = append(changes, e.announcementAt(now))
 		}
 	}
+	// An incarnation that is gone may free the address of another one.
+	slices.SortFunc(changes, func(a, b *peer.Announcement) int { return cmp.Compare(b.State, a.State) })
 	return changes
 }
 
@@ -173,6 +268,11 @@
 // Expire marks incarnations as gone that have not announced for silenceTimeout,
 // and returns their ids. It deletes those that have been gone for goneRetention.
 func (t *Table) Expire(now time.Time) (removed []string) {
+	for key, e := range t.unlisted {
+		if now.Sub(e.Received) > silenceTimeout {
+			delete(t.unlisted, key)
+		}
+	}
 	for id, e := range t.entries {
 		silent := now.Sub(e.Received)
 		switch {
--- a/internal/state/directory/directory_test.go
+++ b/internal/state/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -20,6 +21,13 @@
 	return &peer.Announcement{Id: id, BornMs: started, Sequence: sequence, Service: "pool", Address: address, FailureDomain: "fes", State: state}
 }
 
+// newTable returns a table of a catalog with the service pool.
+func newTable() *Table {
+	t := New()
+	t.SetServices(time.Unix(0, 0), []string{"pool"})
+	return t
+}
+
 func listed(t *Table) map[string]string {
 	got := map[string]string{}
 	t.Entries(func(e *Entry) {
@@ -64,7 +72,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			table := New()
+			table := newTable()
 			for i, a := range test.announcements {
 				table.Apply(time.Unix(int64(i), 0), a)
 			}
@@ -78,7 +86,7 @@
 // TestSilent guards against a backend server that was partitioned from the
 // registrars and stays unlisted after it announces again.
 func TestSilent(t *testing.T) {
-	table, now := New(), time.Unix(100, 0)
+	table, now := newTable(), time.Unix(100, 0)
 	table.Apply(now, announcement("a", 1, 5, "h:1", ready))
 	now = now.Add(silenceTimeout + time.Second)
 	if diff := cmp.Diff([]string{"a"}, table.Expire(now)); diff != "" {
@@ -93,6 +101,104 @@
 	}
 }
 
+// TestForeign guards against an announcement of another writer that displaces a
+// sound backend server (review/3), also in the table of a follower, and against the
+// loss of announcements that came before the catalog that lists their service.
+func TestForeign(t *testing.T) {
+	foreign := func(id string, started, sequence uint64, address string) *peer.Announcement {
+		a := announcement(id, started, sequence, address, ready)
+		a.Service = "unknown"
+		return a
+	}
+	own := map[string]string{"a": "h:1 READY"}
+	type step struct {
+		announcement *peer.Announcement
+		services     []string
+		silence      time.Duration
+	}
+	announce := func(a *peer.Announcement) step { return step{announcement: a} }
+	tests := map[string]struct {
+		steps []step
+		want  map[string]string
+	}{
+		"unknown service at the address": {
+			[]step{announce(announcement("a", 1, 5, "h:1", ready)), announce(foreign("x", 9, 1, "h:1")), announce(announcement("a", 1, 6, "h:1", ready))}, own,
+		},
+		"unknown service under the id": {
+			[]step{announce(announcement("a", 1, 5, "h:1", ready)), announce(foreign("a", 9, 99, "h:2")), announce(announcement("a", 1, 6, "h:1", ready))}, own,
+		},
+		"unknown service first": {
+			[]step{announce(foreign("a", 9, 99, "h:1")), announce(foreign("x", 9, 1, "h:1")), announce(announcement("a", 1, 5, "h:1", ready))}, own,
+		},
+		"drain after an unknown service": {
+			[]step{announce(announcement("a", 1, 5, "h:1", ready)), announce(foreign("a", 9, 99, "h:1")), announce(announcement("a", 1, 6, "h:1", draining))},
+			map[string]string{"a": "h:1 DRAINING"},
+		},
+		"service listed later": {
+			[]step{announce(foreign("new", 3, 1, "h:3")), announce(announcement("a", 1, 5, "h:1", ready)), {services: []string{"pool", "unknown"}}},
+			map[string]string{"a": "h:1 READY", "new": "h:3 READY"},
+		},
+		"ended before its service is listed": {
+			[]step{announce(foreign("new", 3, 1, "h:3")), announce(&peer.Announcement{Id: "new", State: gone}), {services: []string{"pool", "unknown"}}},
+			map[string]string{},
+		},
+		"drain after the service was removed": {
+			[]step{announce(announcement("a", 1, 5, "h:1", ready)), {services: []string{"other"}}, announce(announcement("a", 1, 6, "h:1", draining))},
+			map[string]string{"a": "h:1 DRAINING"},
+		},
+		"same service at the address, then silent": {
+			[]step{announce(announcement("a", 1, 5, "h:1", ready)), announce(announcement("x", 9, 1, "h:1", ready)), {silence: silenceTimeout + time.Second}, announce(announcement("a", 1, 60, "h:1", ready))}, own,
+		},
+		"same id, then silent": {
+			[]step{announce(announcement("a", 1, 5, "h:1", ready)), announce(announcement("a", 9, 1, "h:2", ready)), {silence: silenceTimeout + time.Second}, announce(announcement("a", 1, 60, "h:1", ready))}, own,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table, follower, now, version := newTable(), newTable(), time.Unix(100, 0), uint64(0)
+			for _, s := range test.steps {
+				now = now.Add(s.silence)
+				table.Expire(now)
+				if s.services != nil {
+					table.SetServices(now, s.services)
+					follower.SetServices(now, s.services)
+				}
+				if s.announcement != nil {
+					table.Apply(now, s.announcement)
+					if !follower.IsListed(s.announcement.Service) {
+						follower.Apply(now, s.announcement) // by a registrar that passes on all
+					}
+				}
+				for _, a := range table.Since(now, version) {
+					follower.Apply(now, a)
+				}
+				version = table.Version()
+			}
+			if diff := cmp.Diff([]map[string]string{test.want, test.want}, []map[string]string{listed(table), listed(follower)}); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestUnlistedBound guards against a table that grows with announcements of services
+// that no catalog lists.
+func TestUnlistedBound(t *testing.T) {
+	table := newTable()
+	for i := range maxUnlisted + 100 {
+		a := announcement(fmt.Sprintf("x%d", i), 1, 1, "h:1", ready)
+		a.Service = fmt.Sprintf("s%d", i)
+		table.Apply(time.Unix(int64(i), 0), a)
+	}
+	if n := len(table.unlisted); n > maxUnlisted {
+		t.Errorf("%d announcements are kept, at most %d", n, maxUnlisted)
+	}
+	table.Expire(time.Unix(maxUnlisted+100, 0).Add(silenceTimeout))
+	if n := len(table.unlisted); n != 0 {
+		t.Errorf("%d announcements are kept after the silence timeout", n)
+	}
+}
+
 // TestOrder guards against tables that differ between followers: the order in
 // which announcements arrive must not matter.
 func TestOrder(t *testing.T) {
@@ -108,7 +214,7 @@
 			}
 			all = append(all, a)
 		}
-		one, other := New(), New()
+		one, other := newTable(), newTable()
 		for _, a := range all {
 			one.Apply(time.Unix(1, 0), a)
 		}
@@ -123,7 +229,7 @@
 
 // TestSince guards against a follower that misses a change or gets a wrong age.
 func TestSince(t *testing.T) {
-	table, now := New(), time.Unix(100, 0)
+	table, now := newTable(), time.Unix(100, 0)
 	table.Apply(now, announcement("a", 1, 1, "h:1", ready))
 	table.Apply(now, announcement("b", 1, 1, "h:2", ready))
 	version := table.Version()
--- a/pkg/catalog/index.go
+++ b/pkg/catalog/index.go
@@ -61,6 +61,15 @@
 	return s, ok
 }
 
+// ServiceNames returns the names of all services.
+func (x *Index) ServiceNames() []string {
+	names := make([]string, 0, len(x.Catalog.Services))
+	for _, s := range x.Catalog.Services {
+		names = append(names, s.Name)
+	}
+	return names
+}
+
 // Account returns the client account that holds a key.
 func (x *Index) Account(key string) (*ClientAccount, bool) {
 	a, ok := x.accounts[key]
