--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -30,8 +30,10 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
@@ -243,18 +245,33 @@
 }
 
 func checkAnnouncement(a *peer.Announcement) error {
+	if !utf8.ValidString(a.Id) {
+		return fault.New(fault.BadRequest, "announcement with an id that is not UTF-8")
+	}
 	if a.Id == "" || a.State == peer.BackendState_BACKEND_STATE_UNSPECIFIED {
 		return fault.New(fault.BadRequest, "announcement without id or state")
 	}
 	if a.State == peer.BackendState_BACKEND_STATE_GONE {
 		return nil
 	}
-	if _, _, err := net.SplitHostPort(a.Address); err != nil || a.Service == "" || a.FailureDomain == "" {
-		return fault.New(fault.BadRequest, "announcement of %q needs service, failure domain and an address", a.Id)
+	host, port, err := net.SplitHostPort(a.Address)
+	if number, portErr := strconv.ParseUint(port, 10, 16); err != nil || portErr != nil || number == 0 || host == "" {
+		return fault.New(fault.BadRequest, "announcement of %q: %q is no host:port", a.Id, a.Address)
+	}
+	if a.Service == "" || a.FailureDomain == "" {
+		return fault.New(fault.BadRequest, "announcement of %q needs service and failure domain", a.Id)
+	}
+	if a.Sequence > maxSequence || a.BornMs > maxSequence {
+		return fault.New(fault.BadRequest, "announcement of %q: sequence %d and start time %d ms must be at most %d", a.Id, a.Sequence, a.BornMs, uint64(maxSequence))
 	}
 	return nil
 }
 
+// maxSequence bounds the numbers by which announcements are ordered. Those of
+// backend servers are far below; one near the largest integer would be newer than
+// all that follow.
+const maxSequence = 1 << 53
+
 // apply adds announcements to the table and reports whether one changed it.
 func (r *Registrar) apply(source string, announcements ...*peer.Announcement) bool {
 	now := time.Now()
--- a/internal/coordination/registrar/registrar_test.go
+++ b/internal/coordination/registrar/registrar_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -308,6 +309,13 @@
 		"no state":   {Id: "x", Service: "pool", Address: "h:1", FailureDomain: "fes"},
 		"no service": {Id: "x", State: peer.BackendState_BACKEND_STATE_READY, Address: "h:1", FailureDomain: "fes"},
 		"no port":    {Id: "x", State: peer.BackendState_BACKEND_STATE_READY, Service: "pool", Address: "h", FailureDomain: "fes"},
+		"port 0":     {Id: "x", State: peer.BackendState_BACKEND_STATE_READY, Service: "pool", Address: "h:0", FailureDomain: "fes"},
+		"large port": {Id: "x", State: peer.BackendState_BACKEND_STATE_READY, Service: "pool", Address: "h:99999", FailureDomain: "fes"},
+		"no host":    {Id: "x", State: peer.BackendState_BACKEND_STATE_READY, Service: "pool", Address: ":80", FailureDomain: "fes"},
+		"sequence":   {Id: "x", Sequence: 1 << 63, State: peer.BackendState_BACKEND_STATE_READY, Service: "pool", Address: "h:1", FailureDomain: "fes"},
+		"start time": {Id: "x", BornMs: 1 << 63, State: peer.BackendState_BACKEND_STATE_READY, Service: "pool", Address: "h:1", FailureDomain: "fes"},
+		"id":         {Id: "x\xff", State: peer.BackendState_BACKEND_STATE_READY, Service: "pool", Address: "h:1", FailureDomain: "fes"},
+		"gone id":    {Id: "x\xff", State: peer.BackendState_BACKEND_STATE_GONE},
 	}
 	for name, a := range bad {
 		t.Run(name, func(t *testing.T) {
@@ -353,6 +361,31 @@
 	}
 }
 
+// TestOddAnnouncement guards against one odd announcement of another writer after
+// which registrars and entries no longer follow the registrar that received it.
+func TestOddAnnouncement(t *testing.T) {
+	g := newGroup(t, 3)
+	first, second := g.nodes[g.seeds[0]], g.nodes[g.seeds[1]]
+	g.replace(first, 1, "one")
+	for _, a := range []*peer.Announcement{
+		{Id: "odd\xff", Service: "pool", Address: "127.0.0.1:9", FailureDomain: "fes"},
+		{Id: "odd", Service: "pool", Address: "127.0.0.1:99999", FailureDomain: "fes"},
+		{Id: "s1", Sequence: math.MaxUint64, BornMs: math.MaxUint64, Service: "pool", Address: "127.0.0.1:9", FailureDomain: "fes"},
+	} {
+		a.State = peer.BackendState_BACKEND_STATE_READY
+		if err := first.Announce(context.Background(), a); err == nil {
+			t.Errorf("announcement %v was accepted", a)
+		}
+	}
+	sound := &peer.Announcement{
+		Id: "s1", BornMs: 1, Sequence: 1, Service: "pool", Address: "127.0.0.1:9", FailureDomain: "fes", State: peer.BackendState_BACKEND_STATE_READY,
+	}
+	if err := first.Announce(context.Background(), sound); err != nil {
+		t.Fatal(err)
+	}
+	g.eventually("receive the sound announcement", func() error { return checkListed(second, 1) })
+}
+
 func checkListed(n *node, want int) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
