registrar: do not carry out drain orders that their operator has given up

Cause: an order to drain or return a failure domain has no version. A control node that was stopped for some seconds read the order from a connection whose operator had moved on and had it carried out by another node long before, and then drained the domain again. The node forwarded the old order, and the leader proposed it. Only the end of the connection, a round trip later, could have stopped it.

TestAbandonedOrder, without its row of a stopped registrar, fails on the code before in both other rows: "the abandoned order was carried out".

Change: an order is refused, so that its operator may repeat it, when it may be old. Package suspend notices that the process or its host stood still, whichever goroutine runs first; orders read within a second after that are refused. An order waits 50 ms for the end of its connection. It carries the index of the drained failure domains that its registrar knew, and the leader refuses it if the domain was changed later to the contrary, which covers delays between registrars and at the leader. Orders are checked and proposed one at a time. The same order acknowledged again, or repeated after a refusal, is carried out as before. The request to end a quarantine makes the same assumption and gets the first two checks.

The check of the index is made by the leader, not by the replicated state, so that replicas of the earlier build reach the same state.

Measured: TestAbandonedOrder, TestRecent and the tests of both packages pass with the race detector.

--- a/internal/coordination/registrar/calls.go
+++ b/internal/coordination/registrar/calls.go
@@ -90,27 +90,6 @@
 	return res, nil
 }
 
-// Drain drains a failure domain or returns it to service.
-func (r *Registrar) Drain(ctx context.Context, req *peer.DrainRequest) (*peer.DrainResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
-	defer cancel()
-	err := r.onLeader(ctx, req.Forwarded, func(log *replica.Replica, _ *registry.Registry) error {
-		result, err := log.Propose(ctx, registry.DrainCommand(time.Now(), req.FailureDomain, req.Drained))
-		if err != nil {
-			return err
-		}
-		return registry.DecodeDrainResult(result)
-	}, func(leader peer.Directory) error {
-		_, err := leader.Drain(ctx, &peer.DrainRequest{FailureDomain: req.FailureDomain, Drained: req.Drained, Forwarded: true})
-		return err
-	})
-	r.log.Info("drain request", "failure_domain", req.FailureDomain, "drained", req.Drained, "forwarded", req.Forwarded, "error", err)
-	if err != nil {
-		return nil, r.refuse("drain", err)
-	}
-	return &peer.DrainResponse{}, nil
-}
-
 // Read returns the newest catalog after a quorum has confirmed that there is
 // no newer one.
 func (r *Registrar) Read(ctx context.Context, req *peer.ReadRequest) (*peer.ReadResponse, error) {
--- a/internal/coordination/registrar/quarantine.go
+++ b/internal/coordination/registrar/quarantine.go
@@ -142,6 +142,11 @@
 func (r *Registrar) Quarantine(ctx context.Context, req *peer.QuarantineRequest) (*peer.QuarantineResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
+	if req.Clear != "" && !req.Forwarded {
+		if err := r.checkWanted(ctx); err != nil {
+			return nil, r.refuse("quarantine", err)
+		}
+	}
 	var res *peer.QuarantineResponse
 	err := r.onLeader(ctx, req.Forwarded, func(log *replica.Replica, state *registry.Registry) error {
 		if req.Clear != "" {
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -39,6 +39,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"oleanderrack.example/oleanderrack/internal/coordination/quarantine"
+	"oleanderrack.example/oleanderrack/internal/coordination/suspend"
 	"oleanderrack.example/oleanderrack/internal/protocol/peer"
 	"oleanderrack.example/oleanderrack/internal/state/directory"
 	"oleanderrack.example/oleanderrack/internal/state/registry"
@@ -94,13 +95,16 @@
 // Registrar is one registrar of a deployment. Its methods are safe for
 // concurrent use.
 type Registrar struct {
-	ctx        context.Context
-	cfg        Config
-	log        hclog.Logger
-	scope      tally.Scope
-	client     *http.Client
-	supervisor *supervisor
-	epoch      uint64
+	ctx           context.Context
+	cfg           Config
+	log           hclog.Logger
+	scope         tally.Scope
+	client        *http.Client
+	supervisor    *supervisor
+	epoch         uint64
+	interruptions *suspend.Detector
+	// drainProposal holds an element while a drain order is checked and proposed.
+	drainProposal chan struct{}
 	// evidenceAdded holds an element while evidence has not been checked.
 	evidenceAdded chan struct{}
 
@@ -156,6 +160,9 @@
 		entries: map[string]*entryState{},
 		clients: map[string]peer.Directory{},
 
+		interruptions: suspend.New(ctx, suspend.Clock),
+		drainProposal: make(chan struct{}, 1),
+
 		evidence:      quarantine.NewEvidence(),
 		evidenceAdded: make(chan struct{}, 1),
 
--- a/internal/state/registry/catalogs.go
+++ b/internal/state/registry/catalogs.go
@@ -61,6 +61,20 @@
 	return r.drained
 }
 
+// DrainState returns whether a failure domain is drained, and the log index of the
+// last change of that. The index is not part of snapshots: after a restore, any
+// domain may have changed as late as the latest one.
+func (r *Registry) DrainState(failureDomain string) (drained bool, index uint64) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	_, drained = slices.BinarySearch(r.drained.FailureDomains, failureDomain)
+	index, ok := r.drainChanges[failureDomain]
+	if !ok {
+		index = r.restoredDrainIndex
+	}
+	return drained, index
+}
+
 func (r *Registry) replaceCatalog(c *ReplaceCatalog) *Result {
 	adopted := c.Version > r.catalog.Version
 	if adopted {
@@ -83,6 +97,7 @@
 			next = slices.Delete(next, at, at+1)
 		}
 		r.drained = DrainedDomains{Index: index, FailureDomains: next}
+		r.drainChanges[c.FailureDomain] = index
 	}
 	return &Result{Result: &Result_Drain{Drain: &DrainResult{Index: r.drained.Index}}}
 }
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -67,6 +67,10 @@
 	ledger   *ledger.Ledger
 	catalog  Catalog
 	drained  DrainedDomains
+	// drainChanges holds the log index of the last change of a failure domain since
+	// the last restore, which was at restoredDrainIndex.
+	drainChanges       map[string]uint64
+	restoredDrainIndex uint64
 
 	quarantineIndex uint64
 	quarantine      []*QuarantineRecord // sorted by part; records are not modified
@@ -80,6 +84,8 @@
 		groups:  map[string]*GroupRecord{},
 		fencing: map[string]uint64{},
 		ledger:  ledger.New(),
+
+		drainChanges: map[string]uint64{},
 	}
 }
 
--- a/internal/state/registry/snapshot.go
+++ b/internal/state/registry/snapshot.go
@@ -63,6 +63,7 @@
 	r.ops, r.history = next.ops, next.history
 	r.groups, r.fencing, r.ledger = next.groups, next.fencing, next.ledger
 	r.catalog, r.drained = next.catalog, next.drained
+	r.drainChanges, r.restoredDrainIndex = map[string]uint64{}, next.drained.Index
 	r.quarantineIndex, r.quarantine = next.quarantineIndex, next.quarantine
 	return nil
 }
