registrar, replica: hand out no state that a restart only passes through

Cause: a restarted replica learns which entries of its log are committed only after an election, and applies them one after the other. Each version woke all followers; each entry fetched it from each registrar and decoded it, which slowed the replay down, and entries that had just started served with it. Hundreds of versions took seconds.

Evidence: logs of a trial with real processes: after a restart "catalog committed" for versions 1, 2, 3 and so on, and entries that adopt version 1 first.

Ruled out: a lost version (the newest is read back each time), a follower that goes back (its version only grows), a registrar that is not followed.

Change: a replica is caught up once the leader of the term has committed an entry of its own and everything up to that commit index is applied. An entry decodes a catalog once, though all registrars send it.

--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -119,6 +119,9 @@
 	scope tally.Scope
 	view  atomic.Pointer[View]
 
+	decoding       sync.Mutex
+	decodedVersion uint64 // guarded by decoding
+
 	mu                sync.Mutex
 	table             *directory.Table
 	index             *catalog.Index
@@ -421,10 +424,16 @@
 
 // decode decodes the catalog of a response if it is newer than the one in use.
 func (f *Follower) decode(address string, res *peer.FollowResponse) *catalog.Index {
+	if len(res.Catalog) == 0 {
+		return nil
+	}
+	// All registrars send the same catalog at about the same time.
+	f.decoding.Lock()
+	defer f.decoding.Unlock()
 	f.mu.Lock()
-	current := f.catalogVersion()
+	current := max(f.catalogVersion(), f.decodedVersion)
 	f.mu.Unlock()
-	if len(res.Catalog) == 0 || res.CatalogVersion <= current {
+	if res.CatalogVersion <= current {
 		return nil
 	}
 	c, err := f.cfg.Decode(res.Catalog)
@@ -433,6 +442,7 @@
 		f.log.Error("catalog cannot be decoded", "version", res.CatalogVersion, "from", address, "error", err)
 		return nil
 	}
+	f.decodedVersion = res.CatalogVersion
 	return catalog.NewIndex(c)
 }
 
--- a/internal/coordination/raft/raft.go
+++ b/internal/coordination/raft/raft.go
@@ -112,6 +112,7 @@
 	leader       uint64
 	log          entryLog
 	commitIndex  uint64
+	leaderCommit uint64 // the commit index that the leader last sent
 	syncedIndex  uint64 // last entry known to be on this replica's disk
 	configs      []configuration
 	snapshot     SnapshotMeta
@@ -288,6 +289,19 @@
 // CommitIndex returns the index of the last committed entry.
 func (r *Raft) CommitIndex() uint64 { return r.commitIndex }
 
+// ConfirmedCommit returns an index up to which at least everything is committed that
+// was when the current term began. It reports false until the leader of the term has
+// committed an entry of its own: a restarted replica does not know which entries of
+// its log are committed, and learns of them one after the other.
+func (r *Raft) ConfirmedCommit() (index uint64, ok bool) {
+	index = r.leaderCommit
+	if r.role == Leader {
+		index = r.commitIndex
+	}
+	term, inLog := r.log.term(index)
+	return index, inLog && index > 0 && term == r.hard.Term
+}
+
 // LastIndex returns the index of the last entry of the log.
 func (r *Raft) LastIndex() uint64 { return r.log.lastIndex() }
 
--- a/internal/coordination/raft/replicate.go
+++ b/internal/coordination/raft/replicate.go
@@ -178,6 +178,7 @@
 	if !r.acceptLeader(m) {
 		return
 	}
+	r.leaderCommit = m.Commit
 	reply := &peer.RaftMessage{
 		Type: peer.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_REPLY, Round: m.Round,
 	}
--- a/internal/coordination/registrar/follow.go
+++ b/internal/coordination/registrar/follow.go
@@ -261,9 +261,6 @@
 
 // recordResponse records the state of the group that another registrar reported.
 func (r *Registrar) recordResponse(res *peer.FollowResponse) {
-	if r.cfg.Folder == "" && len(res.Catalog) > 0 {
-		r.listServices(registry.Catalog{Version: res.CatalogVersion, Data: res.Catalog})
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(res.Members) > 0 {
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -178,6 +178,7 @@
 		go r.maintainQuarantine(ctx)
 	}
 	go r.expire(ctx)
+	go r.maintainServices(ctx)
 	go r.followPeers(ctx)
 	return r, nil
 }
@@ -225,11 +226,26 @@
 	return service == "" || r.table.IsListed(service)
 }
 
-// listServices applies the services of a catalog to the table unless those of a
-// newer one were.
+// maintainServices keeps the services that the table lists up to date with the
+// catalog. Catalogs are large, so they are not decoded where they are received.
+func (r *Registrar) maintainServices(ctx context.Context) {
+	for {
+		r.mu.Lock()
+		catalog, changed := r.catalog, r.changed
+		r.mu.Unlock()
+		r.listServices(catalog)
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// listServices applies the services of a catalog to the table.
 func (r *Registrar) listServices(catalog registry.Catalog) {
 	r.mu.Lock()
-	known := r.listedVersion >= catalog.Version
+	known := catalog.Version <= r.listedVersion
 	r.mu.Unlock()
 	if known {
 		return
@@ -237,15 +253,11 @@
 	names, err := r.cfg.Services(catalog.Data)
 	if err != nil {
 		r.log.Error("services of a catalog cannot be decoded", "version", catalog.Version, "error", err)
-		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.listedVersion >= catalog.Version {
-		return
-	}
 	r.listedVersion = catalog.Version
-	if r.table.SetServices(time.Now(), names) {
+	if err == nil && r.table.SetServices(time.Now(), names) {
 		r.log.Info("kept announcements applied", "version", catalog.Version, "services", len(names))
 		r.wakeFollowers()
 	}
@@ -326,7 +338,6 @@
 // onCommit is called after commands have been applied.
 func (r *Registrar) onCommit(state *registry.Registry) {
 	catalog, drained, quarantined := state.Catalog(), state.Drained(), state.Quarantine()
-	r.listServices(catalog)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changed := false
--- a/internal/coordination/registrar/supervisor.go
+++ b/internal/coordination/registrar/supervisor.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -77,9 +78,10 @@
 	defer transport.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	machine := &notifyingRegistry{Registry: state, onApply: func() { s.onCommit(state) }}
 	r, err := replica.New(ctx, replica.Config{
 		Cluster: s.cfg.Cluster, ID: id, Folder: s.cfg.Folder, Bootstrap: founders,
-		StateMachine: &notifyingRegistry{Registry: state, onApply: func() { s.onCommit(state) }},
+		StateMachine: machine,
 		Transport:    transport, Log: s.log, Scope: s.scope,
 		Limits: replica.Limits{
 			SegmentBytes: segmentBytes, SnapshotBytes: snapshotBytes,
@@ -92,8 +94,13 @@
 	s.mu.Lock()
 	s.replica, s.state, s.id = r, state, id
 	s.mu.Unlock()
-	s.onCommit(state)
 	s.log.Info("log is open", "replica", id, "founding", len(founders) > 0)
+	select {
+	case <-r.CaughtUp():
+		machine.isCurrent.Store(true)
+		s.onCommit(state)
+	case <-r.Done():
+	}
 	<-r.Done()
 	s.mu.Lock()
 	s.replica, s.state = nil, nil
@@ -167,21 +174,25 @@
 }
 
 // notifyingRegistry calls onApply after each applied command and each restored
-// snapshot.
+// snapshot once it is current. Before that it repeats changes that others have
+// followed long ago.
 type notifyingRegistry struct {
 	*registry.Registry
-	onApply func()
+	isCurrent atomic.Bool
+	onApply   func()
 }
 
 func (m *notifyingRegistry) Apply(index uint64, command []byte) []byte {
 	result := m.Registry.Apply(index, command)
-	m.onApply()
+	if m.isCurrent.Load() {
+		m.onApply()
+	}
 	return result
 }
 
 func (m *notifyingRegistry) Restore(snapshot []byte) error {
 	err := m.Registry.Restore(snapshot)
-	if err == nil {
+	if err == nil && m.isCurrent.Load() {
 		m.onApply()
 	}
 	return err
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -147,6 +147,7 @@
 	confirms  chan *confirmation
 	requests  chan *request
 	messages  chan *delivery
+	caughtUp  chan struct{}
 	done      chan struct{}
 	metrics   *metrics
 
@@ -174,6 +175,7 @@
 		confirms:  make(chan *confirmation, callQueueLength),
 		requests:  make(chan *request, callQueueLength),
 		messages:  make(chan *delivery, messageQueueLength),
+		caughtUp:  make(chan struct{}),
 		done:      make(chan struct{}),
 		metrics:   newMetrics(cfg.Scope),
 	}
@@ -240,6 +242,10 @@
 	r.status.Leader, r.status.LeaderAddress = 0, ""
 }
 
+// CaughtUp is closed once all entries are applied that were committed when the
+// replica was opened. Before that, the state machine passes through older states.
+func (r *Replica) CaughtUp() <-chan struct{} { return r.caughtUp }
+
 // Done is closed when all goroutines have returned and the data folder is
 // released.
 func (r *Replica) Done() <-chan struct{} { return r.done }
--- a/internal/coordination/replica/worker.go
+++ b/internal/coordination/replica/worker.go
@@ -41,6 +41,7 @@
 
 	dispatched   uint64 // index of the last entry submitted to the applier
 	applied      uint64
+	isCaughtUp   bool
 	status       Status
 	diskSnapshot snapshotInfo // the newest snapshot on disk
 	err          error
@@ -318,6 +319,19 @@
 	w.status = s
 	w.replica.metrics.update(s)
 	w.replica.publish(s)
+	w.checkCaughtUp()
+}
+
+// checkCaughtUp closes the replica's caughtUp channel once all entries are applied
+// that were committed when the replica was opened.
+func (w *worker) checkCaughtUp() {
+	index, ok := w.raft.ConfirmedCommit()
+	if w.isCaughtUp || !ok || w.applied < index {
+		return
+	}
+	w.isCaughtUp = true
+	w.log.Info("caught up", "applied", w.applied, "commit", index, "term", w.raft.Term(), "ms", w.now().Milliseconds())
+	close(w.replica.caughtUp)
 }
 
 func (w *worker) close() {
