gateway, backend: ask who serves before an answer without a length counts as complete

Cause, reproduced: an answer without a length or chunks ends with its connection. It counted as complete unless the host refused a connection. With a proxy in front of a backend server that has ended, or once the next incarnation has started at its address, a connection is accepted.

Evidence: five rows of TestEndsWithConnection fail on the code before (proxy that closes, proxy that resets, another incarnation, 421).

Change: after such an answer the health check of the service is requested with the expected incarnation. No answer on the connection, 421 or the id of another incarnation make the answer incomplete, so that the stream is resumed. An answer that comes too late, or a refusal for want of a slot, leaves it complete. This costs one request for each answer without a length.

--- a/internal/coordination/gateway/ending.go
+++ b/internal/coordination/gateway/ending.go
@@ -69,7 +69,7 @@
 }
 
 // errEndedWithServer says that an answer that ends with its connection may be
-// incomplete, since its backend server ended as well.
+// incomplete, since its backend server ended as well or was replaced.
 var errEndedWithServer = errors.New("the answer ended together with its backend server")
 
 // checkComplete returns an error if an answer that was read to its end may be
@@ -80,10 +80,28 @@
 	}
 	g := a.call.gateway
 	server := quarantine.Incarnation{ID: a.assigned.Server.ID, StartedMS: a.assigned.Server.StartedMS}
-	if g.isLeaving(server) || !g.hasEnded(a.call.request.Context(), server, a.assigned.Server.Address) {
+	if g.isLeaving(server) {
 		return nil
 	}
-	return errEndedWithServer
+	ctx, address := a.call.request.Context(), a.assigned.Server.Address
+	if g.hasEnded(ctx, server, address) {
+		return errEndedWithServer
+	}
+	if check := g.healthCheck(a.call.service); check != "" && g.client.HasBeenReplaced(ctx, address, check, server.ID) {
+		g.metrics.count("backend_servers_ended", "replaced")
+		return errEndedWithServer
+	}
+	return nil
+}
+
+// healthCheck returns the path of a service's health check, or "".
+func (g *Gateway) healthCheck(service string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s, ok := g.view.Index.Service(service); ok {
+		return s.HealthCheck
+	}
+	return ""
 }
 
 // recordSound records that the answer has got far, which clears the parts of the
--- a/internal/coordination/gateway/ending_test.go
+++ b/internal/coordination/gateway/ending_test.go
@@ -203,9 +203,21 @@
 	}
 }
 
+func closeConnection(net.Conn, *http.Request) bool { return false }
+
+func otherIncarnation(conn net.Conn, r *http.Request) bool {
+	return reply(conn, r, 200, "X-Incarnation: other\r\n", "")
+}
+
+func silent(net.Conn, *http.Request) bool {
+	time.Sleep(time.Second)
+	return false
+}
+
 // TestEndsWithConnection guards against an answer whose end is only that of its
 // connection: a complete one that is refused, and a truncated one that looks
-// complete because the backend server has ended or the last event is incomplete.
+// complete because the last event is incomplete, or because the backend server has
+// ended while a proxy or its next incarnation accepts connections at its address.
 func TestEndsWithConnection(t *testing.T) {
 	stream := "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"
 	head := func(r *http.Request) string {
@@ -213,16 +225,24 @@
 	}
 	tests := map[string]struct {
 		path, body string
-		ends       bool // the backend server ends with the connection
+		ends       bool   // the backend server ends with the connection
+		health     script // nil for a sound backend server
 		want       string
 		sends      int
 	}{
-		"body":                   {"/again/1", "done", false, "done", 1},
-		"stream":                 {"/stream/1", stream, false, stream, 1},
-		"stream cut in an event": {"/stream/1", stream + "id: 3\nda", false, stream + "id: 3\ndata: e3\n\n", 2},
-		"stream without events":  {"/stream/1", "", false, stream + "id: 3\ndata: e3\n\n", 2},
-		"body and server end":    {"/again/1", "do", true, "done", 2},
-		"stream and server end":  {"/stream/1", stream, true, stream + "id: 3\ndata: e3\n\n", 2},
+		"body":                   {"/again/1", "done", false, nil, "done", 1},
+		"stream":                 {"/stream/1", stream, false, nil, stream, 1},
+		"stream cut in an event": {"/stream/1", stream + "id: 3\nda", false, nil, stream + "id: 3\ndata: e3\n\n", 2},
+		"stream without events":  {"/stream/1", "", false, nil, stream + "id: 3\ndata: e3\n\n", 2},
+		"body and server end":    {"/again/1", "do", true, nil, "done", 2},
+		"stream and server end":  {"/stream/1", stream, true, nil, stream + "id: 3\ndata: e3\n\n", 2},
+		"body and proxy":         {"/again/1", "do", false, closeConnection, "done", 2},
+		"stream and proxy":       {"/stream/1", stream, false, closeConnection, stream + "id: 3\ndata: e3\n\n", 2},
+		"stream and reset":       {"/stream/1", stream, false, resetConnection, stream + "id: 3\ndata: e3\n\n", 2},
+		"stream and restart":     {"/stream/1", stream, false, otherIncarnation, stream + "id: 3\ndata: e3\n\n", 2},
+		"stream and another":     {"/stream/1", stream, false, misdirected, stream + "id: 3\ndata: e3\n\n", 2},
+		"stream and full server": {"/stream/1", stream, false, notRun, stream, 1},
+		"stream and slow server": {"/stream/1", stream, false, silent, stream, 1},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -234,6 +254,7 @@
 				}
 				return false
 			})
+			first.health = test.health
 			second := newFakeServer(t, func(conn net.Conn, r *http.Request) bool {
 				if test.path == "/again/1" {
 					return ok(conn, r)
--- a/internal/coordination/gateway/fake_test.go
+++ b/internal/coordination/gateway/fake_test.go
@@ -25,7 +25,7 @@
 )
 
 var headerNames = backend.HeaderNames{
-	RequestID: "X-Request-Id", DeadlineRemaining: "X-Remaining", ExpectedIncarnation: "X-Expected", ClientAccount: "X-Account", APIKey: "X-Key",
+	RequestID: "X-Request-Id", DeadlineRemaining: "X-Remaining", ExpectedIncarnation: "X-Expected", ClientAccount: "X-Account", APIKey: "X-Key", Incarnation: "X-Incarnation",
 	Signature: "X-Signature", NotRun: "X-Not-Run", Load: "X-Load", ColdRemaining: "X-Cold", Urgency: "X-Urgency", LastEventID: "Last-Event-Id",
 	PromptParts: "X-Prompt",
 }
@@ -38,10 +38,20 @@
 	// returns false.
 	answer func(conn net.Conn, r *http.Request) bool
 
+	// health answers health checks; nil answers as the incarnation that is expected.
+	health func(conn net.Conn, r *http.Request) bool
+
 	mu  sync.Mutex
 	got []*http.Request
 }
 
+func (f *fakeServer) answerHealthCheck(conn net.Conn, r *http.Request) bool {
+	if f.health != nil {
+		return f.health(conn, r)
+	}
+	return reply(conn, r, 200, "X-Incarnation: "+r.Header.Get("X-Expected")+"\r\n", "")
+}
+
 func newFakeServer(t *testing.T, answer func(net.Conn, *http.Request) bool) *fakeServer {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -74,6 +84,12 @@
 			return
 		}
 		r.Body = io.NopCloser(strings.NewReader(string(body)))
+		if r.URL.Path == healthCheck {
+			if !f.answerHealthCheck(conn, r) {
+				return
+			}
+			continue
+		}
 		f.mu.Lock()
 		f.got = append(f.got, r)
 		f.mu.Unlock()
@@ -98,6 +114,8 @@
 // maxTestBody is the catalog's limit on bodies.
 const maxTestBody = 1000
 
+const healthCheck = "/health"
+
 const signed = "X-Signature: s\r\n"
 
 func ok(conn net.Conn, r *http.Request) bool { return reply(conn, r, 200, signed, "done") }
@@ -151,7 +169,7 @@
 		Version:        1,
 		Limits:         catalog.Limits{BodyBytes: maxTestBody},
 		Routes:         []catalog.Route{route("once", catalog.NonIdempotent), route("again", catalog.Idempotent), route("stream", catalog.Streaming), withoutGap},
-		Services:       []catalog.Service{{Name: "pool"}},
+		Services:       []catalog.Service{{Name: "pool", HealthCheck: healthCheck}},
 		ClientAccounts: []catalog.ClientAccount{{Name: "acme", Keys: []string{"key"}}},
 	})}
 	for i, f := range fakes {
--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -76,6 +76,8 @@
 	DeadlineRemaining string
 	// ExpectedIncarnation names the incarnation that may run the request.
 	ExpectedIncarnation string
+	// Incarnation names the incarnation that answers a health check.
+	Incarnation string
 	// ClientAccount names the account that the request is for.
 	ClientAccount string
 	// APIKey is the caller's key, which is never sent to backend servers.
@@ -323,6 +325,31 @@
 	return false
 }
 
+// HasBeenReplaced reports whether the incarnation that served an address no longer
+// does. It requests the health check: a proxy before the backend server accepts
+// connections also when that has ended, and another incarnation may have started. The
+// answer is false if there is none in time.
+func (c *Client) HasBeenReplaced(ctx context.Context, address, healthCheck, incarnation string) bool {
+	ctx, cancel := context.WithTimeout(ctx, endedTimeout)
+	defer cancel()
+	req := &Request{
+		Method: http.MethodGet, Target: healthCheck, Host: address,
+		Header: http.Header{http.CanonicalHeaderKey(c.headers.ExpectedIncarnation): {incarnation}},
+	}
+	res, err := c.Send(ctx, address, req)
+	if err != nil {
+		return ctx.Err() == nil && !isTimeout(err)
+	}
+	defer res.Close()
+	serving := res.Header.Get(c.headers.Incarnation)
+	return res.Status == http.StatusMisdirectedRequest || (serving != "" && serving != incarnation)
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // connect returns an idle connection that is still usable, or dials.
 func (c *Client) connect(ctx context.Context, address string, newConnection bool) (*conn, error) {
 	now := time.Now()
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -79,7 +79,9 @@
 
 // Service is a set of interchangeable backend servers.
 type Service struct {
-	Name           string
+	Name string
+	// HealthCheck is the path of health checks, or empty.
+	HealthCheck    string
 	MaxConnections int
 	// ColdPeriod is how long a backend server stays cold after its start, and
 	// ColdRequestsPerSecond is its capacity during that time; 0 if it is never
