--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"oleanderrack.example/oleanderrack/internal/coordination/follower"
 )
 
 type script = func(net.Conn, *http.Request) bool
@@ -84,6 +86,63 @@
 	}
 }
 
+// TestRepeatedRefusal guards against a refusal that a faulty backend server writes once
+// more on a kept connection: the caller is told that a request has not run although
+// it runs, or the request is sent to another backend server as well.
+func TestRepeatedRefusal(t *testing.T) {
+	refusal := func(id string) string {
+		return "HTTP/1.1 503 X\r\n" + id + "X-Not-Run: 1\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nfull"
+	}
+	first := refusal("X-Request-Id: r1\r\n")
+	tests := map[string]struct {
+		path   string
+		late   string // written before the answer to the second request
+		idle   string // written after the answer to the first request
+		status int
+		body   string
+	}{
+		"as the answer":            {path: "/again/1", late: first, status: 200, body: "done"},
+		"twice":                    {path: "/again/1", late: first + first, status: 200, body: "done"},
+		"without an id":            {path: "/again/1", late: refusal(""), status: 200, body: "done"},
+		"while idle":               {path: "/again/1", idle: first, status: 200, body: "done"},
+		"of a stream":              {path: "/stream/1", late: first, status: 200, body: "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"},
+		"before an order":          {path: "/once/1", late: first, status: 200, body: "done"},
+		"before an order, as idle": {path: "/once/1", idle: first, status: 200, body: "done"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var refused atomic.Bool
+			answer := func(conn net.Conn, r *http.Request) bool {
+				if refused.CompareAndSwap(false, true) {
+					fmt.Fprint(conn, first+test.idle)
+					return true
+				}
+				fmt.Fprint(conn, test.late)
+				time.Sleep(20 * time.Millisecond) // it runs
+				if strings.HasPrefix(r.URL.Path, "/stream") {
+					return events(conn, r, 2, true, "")
+				}
+				return ok(conn, r)
+			}
+			server := newFakeServer(t, answer)
+			s := newTestGateway(t, server)
+			if status, _, _ := s.send(t, "POST", test.path, "x"); status != 503 {
+				t.Fatalf("the refused request was answered %d", status)
+			}
+			time.Sleep(300 * time.Millisecond) // it counts as full for a while
+			other := newFakeServer(t, ok)
+			v := *s.gateway.view
+			v.Servers = append(v.Servers[:1:1], follower.Server{ID: "other", StartedMS: 1, Service: "pool", Address: other.address, Slots: 8, Draining: true})
+			s.gateway.Update(&v)
+			status, body, _ := s.send(t, "POST", test.path, "x", "X-Request-Id", "r2")
+			runs := len(server.requests()) - 1 + len(other.requests())
+			if diff := cmp.Diff([]any{test.status, test.body, 1}, []any{status, body, runs}); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
 // TestEndless guards against a backend server that sends bytes without end: what is
 // read is bounded, its connection is closed, and the caller learns the truth.
 func TestEndless(t *testing.T) {
