gateway: do not pass on 429 or 408 of a request that may have run

Callers saw: an order that a backend server has run and answered 429, without the header that guarantees the contrary, was passed on as 429.

Cause: statuses that imply "not run" were replaced only among those from 500 on, and only if the answer was short.

Evidence: three new rows of TestOnce fail on the code before (429, 408, a 429 of 1 MiB).

Change: a signed answer with such a status and without the guarantee is a failed attempt that may have run: 502 for what must not repeat, another attempt for what may. Answers with the guarantee and other statuses are handled as before.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -247,9 +247,24 @@
 	return a.forwardBody(res)
 }
 
+// impliesNotRun reports whether a status promises the caller that its request has not
+// run and never will.
+func impliesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // forwardBody forwards an answer that is not a stream of events.
 func (a *attempt) forwardBody(res *backend.Response) outcome {
 	c := a.call
+	if impliesNotRun(res.Status) {
+		// Without the header that says so, the request may have run.
+		a.finish(pool.Failed, strconv.Itoa(res.Status)+" without a guarantee that the request has not run")
+		return a.retryOrFail(true, fault.New(fault.BackendFailed, "backend server %s answered %d", a.assigned.Server.ID, res.Status))
+	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedResponse))
 	if err == nil && len(body) < maxBufferedResponse {
 		err = a.checkComplete(res)
@@ -338,16 +353,6 @@
 	return delivered{status: response.status}
 }
 
-// deliverFailure forwards the 5xx response of a backend server. Statuses that imply
-// that a request has not run are replaced, since this request has.
-func (c *call) deliverFailure() outcome {
-	switch c.failure.status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return c.refuse(fault.New(fault.BackendFailed, "a backend server answered %d", c.failure.status))
-	}
-	return c.deliver(c.failure)
-}
-
 func (g *Gateway) markMisdirected(id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/coordination/gateway/call.go
+++ b/internal/coordination/gateway/call.go
@@ -156,7 +156,7 @@
 	case c.stream.headerWritten:
 		return truncated{err: err}
 	case c.failure != nil:
-		return c.deliverFailure()
+		return c.deliver(c.failure)
 	case c.possibleRuns == 0 && err.Kind == fault.DeadlineExceeded:
 		return c.refuse(err.WithRan(fault.RanNo))
 	case c.possibleRuns == 0:
--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -54,6 +54,10 @@
 	return reply(conn, r, 503, signed, "busy")
 }
 
+func answerStatus(status int) script {
+	return func(conn net.Conn, r *http.Request) bool { return reply(conn, r, status, signed, "no") }
+}
+
 // TestOnce guards against a non-idempotent request running twice, and against an
 // answer that says "not run" although the request may have run.
 func TestOnce(t *testing.T) {
@@ -71,8 +75,15 @@
 		"wrong id first":      {wrongIDFirst, 200, 1},
 		"internal error":      {internalError, 500, 1},
 		"503 without not run": {unavailableWithoutNotRun, 502, 1},
-		"not run":             {notRun, 503, 2},
-		"misdirected":         {misdirected, 503, 2},
+		"429 without not run": {answerStatus(429), 502, 1},
+		"408 without not run": {answerStatus(408), 502, 1},
+		"long 429": {func(c net.Conn, r *http.Request) bool {
+			return reply(c, r, 429, signed, strings.Repeat("x", maxBufferedResponse))
+		}, 502, 1},
+		"429 not run": {func(c net.Conn, r *http.Request) bool { return reply(c, r, 429, "X-Not-Run: 1\r\n", "") }, 503, 2},
+		"400":         {answerStatus(400), 400, 1},
+		"not run":     {notRun, 503, 2},
+		"misdirected": {misdirected, 503, 2},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
