pool, gateway: heed Server-Leaving and Retry-After in answers of backend servers

Nothing in the code read either header.

Change: both are facts about one incarnation, learnt from the head of an answer whose request id matches, of any status but 421, which comes from another incarnation. The pool decides on them with the time as an argument. A leaving backend server gets no work where another one can take it, is the last resort for half of the drain period, and then gets none until a new start; later announcements do not bring it back. A closed one gets none until its time is over. Requests that can wait for that wait, others are refused at once with the earliest time.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -221,6 +221,11 @@
 	if requests, ok := parseLoad(res.Header.Get(headerNames.Load)); ok {
 		c.gateway.setServerLoad(a.assigned.Server.ID, requests)
 	}
+	if res.Status != http.StatusMisdirectedRequest {
+		// 421 comes from another incarnation.
+		a.noteLeaving(res)
+		a.noteRetryAfter(res)
+	}
 	switch {
 	case res.Status == http.StatusMisdirectedRequest:
 		c.gateway.markMisdirected(a.assigned.Server.ID)
--- a/internal/coordination/gateway/fake_test.go
+++ b/internal/coordination/gateway/fake_test.go
@@ -26,7 +26,7 @@
 
 var headerNames = backend.HeaderNames{
 	RequestID: "X-Request-Id", DeadlineRemaining: "X-Remaining", ExpectedIncarnation: "X-Expected", ClientAccount: "X-Account", APIKey: "X-Key", Incarnation: "X-Incarnation",
-	Signature: "X-Signature", NotRun: "X-Not-Run", Load: "X-Load", ColdRemaining: "X-Cold", Urgency: "X-Urgency", LastEventID: "Last-Event-Id",
+	Signature: "X-Signature", NotRun: "X-Not-Run", Leaving: "Server-Leaving", Load: "X-Load", ColdRemaining: "X-Cold", Urgency: "X-Urgency", LastEventID: "Last-Event-Id",
 	PromptParts: "X-Prompt",
 }
 
--- a/internal/coordination/pool/condition.go
+++ b/internal/coordination/pool/condition.go
@@ -45,6 +45,8 @@
 	Avoided                  // avoided
 	Failing                  // failing
 	Delayed                  // delayed
+	Closed                   // closed
+	Leaving                  // leaving
 )
 
 // failingShare is the share of failures from which on a backend server is
@@ -62,6 +64,10 @@
 	for id, s := range p.servers {
 		c := Condition{Subject: Subject{ServerSubject, id}, Share: s.currentFailureShare(now), Age: now.Sub(s.failuresUpdatedAt)}
 		switch {
+		case !s.leavingSince.IsZero():
+			c.State, c.Age = Leaving, now.Sub(s.leavingSince)
+		case now.Before(s.closedUntil):
+			c.State = Closed
 		case s.failuresUpdatedAt.IsZero():
 			continue
 		case now.Before(s.avoidUntil) || s.misses > 0:
--- a/internal/coordination/pool/decision.go
+++ b/internal/coordination/pool/decision.go
@@ -78,6 +78,7 @@
 	QueueTooLong               // queue_too_long
 	WaitTimedOut               // waited_out
 	RetryBudget                // retry_budget
+	AllClosed                  // all_closed
 )
 
 // Result says how a request ended at a backend server.
--- a/internal/coordination/pool/pool.go
+++ b/internal/coordination/pool/pool.go
@@ -59,7 +59,10 @@
 	// ColdSlack is the number of requests per second that a cold backend server
 	// can take beyond its rate, for all entries together.
 	ColdSlack float64
-	Random    *rand.Rand
+	// LeavingGrace is how long a backend server that has said in an answer that it is
+	// leaving still gets the requests that no other one can take.
+	LeavingGrace time.Duration
+	Random       *rand.Rand
 }
 
 // Pool is the state of one entry. It is not safe for concurrent use. Use New.
@@ -287,6 +290,7 @@
 func (p *Pool) assign(now time.Time, svc *service, r *Request, a Assign) {
 	s := p.servers[a.Server.ID]
 	s.inFlight++
+	s.lastSent = now
 	if a.Cold {
 		s.coldSends = append(s.coldSends, now)
 	}
--- a/internal/coordination/pool/pool_string.go
+++ b/internal/coordination/pool/pool_string.go
@@ -13,11 +13,12 @@
 	_ = x[QueueTooLong-2]
 	_ = x[WaitTimedOut-3]
 	_ = x[RetryBudget-4]
+	_ = x[AllClosed-5]
 }
 
-const _Reason_name = "no_serverall_avoidedqueue_too_longwaited_outretry_budget"
+const _Reason_name = "no_serverall_avoidedqueue_too_longwaited_outretry_budgetall_closed"
 
-var _Reason_index = [...]uint8{0, 9, 20, 34, 44, 56}
+var _Reason_index = [...]uint8{0, 9, 20, 34, 44, 56, 66}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
@@ -59,11 +60,13 @@
 	_ = x[Avoided-3]
 	_ = x[Failing-4]
 	_ = x[Delayed-5]
+	_ = x[Closed-6]
+	_ = x[Leaving-7]
 }
 
-const _State_name = "soundslowrestingavoidedfailingdelayed"
+const _State_name = "soundslowrestingavoidedfailingdelayedclosedleaving"
 
-var _State_index = [...]uint8{0, 5, 9, 16, 23, 30, 37}
+var _State_index = [...]uint8{0, 5, 9, 16, 23, 30, 37, 43, 50}
 
 func (i State) String() string {
 	idx := int(i) - 0
--- a/internal/coordination/pool/server.go
+++ b/internal/coordination/pool/server.go
@@ -95,7 +95,11 @@
 	reportedColdUntil time.Time
 	coldSends         []time.Time
 	loadReportedAt    time.Time
-	fullUntil         time.Time // when the requests that wait there should have started
+	// leavingSince is when an answer said that it is leaving, and closedUntil is until
+	// when it wants no requests. lastSent is when it was last sent one.
+	leavingSince, closedUntil, lastSent time.Time
+
+	fullUntil time.Time // when the requests that wait there should have started
 	// quota is the number of requests that this entry may have there until the
 	// next exchange, so that entries do not all fill the same free slots.
 	quota int
@@ -187,37 +191,54 @@
 // choose returns Assign, Refuse, or Wait if there is no capacity now. It does
 // not record the assignment.
 func (p *Pool) choose(now time.Time, svc *service, r *Request) Decision {
-	var candidates []candidate
+	var candidates, lastResort []candidate
 	usable, full := 0, false
-	soonest := time.Time{}
+	soonest, reason := time.Time{}, AllAvoided
 	for _, s := range svc.servers {
 		if s.info.Draining || s.misdirected || p.drained[s.info.FailureDomain] || slices.Contains(r.Tried, s.info.ID) {
 			continue
 		}
+		leaving, mayStillServe := s.isLeaving(now, p.cfg.LeavingGrace)
+		if !mayStillServe {
+			continue
+		}
 		usable++
+		if now.Before(s.closedUntil) {
+			// A request waits for it if that is still in time.
+			full = full || (!leaving && s.closedUntil.Before(r.LatestStart))
+			if soonest.IsZero() || s.closedUntil.Before(soonest) {
+				soonest, reason = s.closedUntil, AllClosed
+			}
+			continue
+		}
 		if now.Before(s.avoidUntil) || (s.misses > 0 && s.inFlight > 0) {
 			if soonest.IsZero() || s.avoidUntil.Before(soonest) {
-				soonest = s.avoidUntil
+				soonest, reason = s.avoidUntil, AllAvoided
 			}
 			continue
 		}
 		cold := svc.spec.ColdRequestsPerSecond > 0 && s.isCold(now, p.returnedAt[s.info.FailureDomain])
 		slots, ok := p.checkCapacity(now, svc, s, r, cold)
-		if !ok {
-			full = true
-			continue
+		switch {
+		case !ok || s.reopensSlowly(now):
+			full = full || !leaving
+		case leaving:
+			lastResort = append(lastResort, p.candidate(now, svc, s, slots, cold))
+		default:
+			candidates = append(candidates, p.candidate(now, svc, s, slots, cold))
 		}
-		candidates = append(candidates, p.candidate(now, svc, s, slots, cold))
 	}
 	switch {
 	case len(candidates) > 0:
 		return p.pick(candidates)
 	case full:
 		return Wait{}
+	case len(lastResort) > 0:
+		return p.pick(lastResort)
 	case usable == 0:
 		return Refuse{Kind: fault.Unavailable, Reason: NoServer, RetryAfter: minRetryAfter}
 	}
-	return Refuse{Kind: fault.Unavailable, Reason: AllAvoided, RetryAfter: max(minRetryAfter, soonest.Sub(now))}
+	return Refuse{Kind: fault.Unavailable, Reason: reason, RetryAfter: max(minRetryAfter, soonest.Sub(now))}
 }
 
 // slots is the number of requests that a backend server processes at once.
--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -86,6 +86,8 @@
 	Signature string
 	// NotRun marks a response that guarantees that the request did not run.
 	NotRun string
+	// Leaving marks an answer of a backend server that is leaving.
+	Leaving string
 	// Load holds the numbers of running requests, waiting requests and slots.
 	Load string
 	// ColdRemaining is the remaining cold period of the backend server, in
