--- a/internal/coordination/raft/checker_test.go
+++ b/internal/coordination/raft/checker_test.go
@@ -18,6 +18,7 @@
 	refused           map[string]bool
 	reads             map[uint64]uint64 // lowest index a read may see, by id
 	confirmed         int
+	confirmedCommits  int
 	snapshotsReceived int
 	readID            uint64
 }
@@ -34,6 +35,7 @@
 		c.observeLeader(n, wasLeader)
 	}
 	c.observeCommit(n)
+	c.observeConfirmedCommit(n)
 	for _, read := range e.ConfirmedReads {
 		minIndex, ok := c.reads[read.ID]
 		if !ok || read.Index < minIndex {
@@ -93,6 +95,25 @@
 	}
 }
 
+// observeConfirmedCommit checks that a confirmed commit index includes all entries
+// that were committed in earlier terms.
+func (c *checker) observeConfirmedCommit(n *simNode) {
+	index, ok := n.r.ConfirmedCommit()
+	if !ok {
+		return
+	}
+	last := uint64(0)
+	for _, e := range c.committed {
+		if e.Term < n.r.Term() {
+			last = e.Index
+		}
+	}
+	if index < last {
+		c.fail("node %d confirms the commit index %d in term %d, entry %d of an earlier term is committed", n.id, index, n.r.Term(), last)
+	}
+	c.confirmedCommits++
+}
+
 // checkState checks that a node's state follows from the committed commands.
 func (c *checker) checkState(n *simNode) {
 	if want := c.commands(n.applied); !slices.Equal(want, n.state) {
