entry: answer 503, not 401, before the first configuration has come

Callers do not repeat after 401.

Cause: a lease may be granted with revision 0, which lists no client accounts, and the directory of that revision was used. Readiness knew of it, requests did not.

Ruled out for a restarted entry: its first lease carries the current revision. The gateway of the users' platform answers 503 without a catalog.

Change: the directory of revision 0 is unavailable. TestNoConfiguration fails on the code before with 401.

--- a/internal/coordination/entry/fakes_test.go
+++ b/internal/coordination/entry/fakes_test.go
@@ -148,7 +148,14 @@
 	}
 	return 1
 }
-func (s *fakeSession) Intent() intent.Intent { return s.in }
+func (s *fakeSession) Intent() intent.Intent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.noConfiguration {
+		return intent.Intent{}
+	}
+	return s.in
+}
 
 // script handles a dispatch at a fake agent; it returns when the answer is
 // written.
--- a/internal/coordination/entry/region.go
+++ b/internal/coordination/entry/region.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"oleanderrack.example/oleanderrack/internal/coordination/fairness"
+	"oleanderrack.example/oleanderrack/internal/coordination/membership"
 	"oleanderrack.example/oleanderrack/internal/protocol/caller"
 	"oleanderrack.example/oleanderrack/internal/protocol/peer"
 	"oleanderrack.example/oleanderrack/pkg/intent"
@@ -103,8 +104,9 @@
 	directory *caller.Directory
 }
 
-// currentDirectory returns the directory of the running revision, or a no_lease
-// fault.
+// currentDirectory returns the directory of the running revision, a no_lease fault,
+// or unavailable before the first configuration, which lists no client accounts: a
+// valid key must not be refused as unknown.
 func (r *Role) currentDirectory() (*caller.Directory, error) {
 	session := r.localRegion().session
 	if err := session.CheckLease(); err != nil {
@@ -113,7 +115,11 @@
 	c := &r.directory
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if revision := session.Revision(); c.directory == nil || revision != c.revision {
+	revision := session.Revision()
+	if revision == 0 {
+		return nil, errNoConfiguration().WithRetryAfter(membership.RenewInterval)
+	}
+	if c.directory == nil || revision != c.revision {
 		in := session.Intent()
 		c.directory, c.revision = caller.NewDirectory(in), revision
 		r.mu.Lock()
--- a/internal/coordination/entry/request_test.go
+++ b/internal/coordination/entry/request_test.go
@@ -243,6 +243,28 @@
 	}
 }
 
+// Guards against a valid key that is refused as unknown before the first configuration
+// has come. The caller would not try again.
+func TestNoConfiguration(t *testing.T) {
+	agent := newFakeAgent(t, "a1", ok("done"))
+	h := newHarness(t, nil, agent)
+	for _, test := range []struct {
+		noConfiguration bool
+		want            callerAnswer
+	}{{true, callerAnswer{503, "unavailable", "no", "", 0}}, {false, callerAnswer{200, "", "", "done", 1}}} {
+		h.session.mu.Lock()
+		h.session.noConfiguration = test.noConfiguration
+		h.session.mu.Unlock()
+		res, body, err := h.call(t, "POST", "/s/desk/orders", "{}")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(test.want, observe(t, res, body, []*fakeAgent{agent})); diff != "" {
+			t.Error(diff)
+		}
+	}
+}
+
 // Guards against an entry that reports ready because it has a lease but no
 // configuration: it would refuse callers as unauthenticated.
 func TestNotReadyWithoutConfiguration(t *testing.T) {
--- a/internal/coordination/entry/role.go
+++ b/internal/coordination/entry/role.go
@@ -172,11 +172,15 @@
 		return err
 	}
 	if session.Revision() == 0 {
-		return fault.New(fault.Unavailable, "there is no configuration yet")
+		return errNoConfiguration()
 	}
 	return nil
 }
 
+func errNoConfiguration() *fault.Error {
+	return fault.New(fault.Unavailable, "there is no configuration yet")
+}
+
 func (r *Role) localRegion() *region { return r.regions[r.settings.Region] }
 
 // count increments a counter with a reason as its tag.
