--- a/internal/coordination/gateway/ending.go
+++ b/internal/coordination/gateway/ending.go
@@ -80,18 +80,17 @@
 	}
 	g := a.call.gateway
 	server := quarantine.Incarnation{ID: a.assigned.Server.ID, StartedMS: a.assigned.Server.StartedMS}
-	if g.isLeaving(server) {
-		return nil
-	}
 	ctx, address := a.call.request.Context(), a.assigned.Server.Address
-	if g.hasEnded(ctx, server, address) {
-		return errEndedWithServer
+	ended := g.hasEnded(ctx, server, address)
+	if check := g.healthCheck(a.call.service); !ended && check != "" {
+		ended = g.client.HasBeenReplaced(ctx, address, check, server.ID)
 	}
-	if check := g.healthCheck(a.call.service); check != "" && g.client.HasBeenReplaced(ctx, address, check, server.ID) {
-		g.metrics.count("backend_servers_ended", "replaced")
-		return errEndedWithServer
+	if !ended || (g.isLeaving(server) && !a.call.mayRepeat()) {
+		// A backend server that leaves ends after its last answer.
+		return nil
 	}
-	return nil
+	g.metrics.count("backend_servers_ended", "with_answer")
+	return errEndedWithServer
 }
 
 // healthCheck returns the path of a service's health check, or "".
--- a/internal/coordination/gateway/ending_test.go
+++ b/internal/coordination/gateway/ending_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -229,25 +230,39 @@
 		health     script // nil for a sound backend server
 		want       string
 		sends      int
+		leaving    bool // the backend server has announced its end
 	}{
-		"body":                   {"/again/1", "done", false, nil, "done", 1},
-		"stream":                 {"/stream/1", stream, false, nil, stream, 1},
-		"stream cut in an event": {"/stream/1", stream + "id: 3\nda", false, nil, stream + "id: 3\ndata: e3\n\n", 2},
-		"stream without events":  {"/stream/1", "", false, nil, stream + "id: 3\ndata: e3\n\n", 2},
-		"body and server end":    {"/again/1", "do", true, nil, "done", 2},
-		"stream and server end":  {"/stream/1", stream, true, nil, stream + "id: 3\ndata: e3\n\n", 2},
-		"body and proxy":         {"/again/1", "do", false, closeConnection, "done", 2},
-		"stream and proxy":       {"/stream/1", stream, false, closeConnection, stream + "id: 3\ndata: e3\n\n", 2},
-		"stream and reset":       {"/stream/1", stream, false, resetConnection, stream + "id: 3\ndata: e3\n\n", 2},
-		"stream and restart":     {"/stream/1", stream, false, otherIncarnation, stream + "id: 3\ndata: e3\n\n", 2},
-		"stream and another":     {"/stream/1", stream, false, misdirected, stream + "id: 3\ndata: e3\n\n", 2},
-		"stream and full server": {"/stream/1", stream, false, notRun, stream, 1},
-		"stream and slow server": {"/stream/1", stream, false, silent, stream, 1},
+		"stream and planned end": {"/stream/1", stream, true, nil, stream + "id: 3\ndata: e3\n\n", 2, true},
+		"order and planned end":  {"/once/1", "done", true, nil, "done", 1, true},
+		"leaving, still there":   {"/stream/1", stream, false, nil, stream, 1, true},
+
+		"body":                   {"/again/1", "done", false, nil, "done", 1, false},
+		"stream":                 {"/stream/1", stream, false, nil, stream, 1, false},
+		"stream cut in an event": {"/stream/1", stream + "id: 3\nda", false, nil, stream + "id: 3\ndata: e3\n\n", 2, false},
+		"stream without events":  {"/stream/1", "", false, nil, stream + "id: 3\ndata: e3\n\n", 2, false},
+		"body and server end":    {"/again/1", "do", true, nil, "done", 2, false},
+		"stream and server end":  {"/stream/1", stream, true, nil, stream + "id: 3\ndata: e3\n\n", 2, false},
+		"body and proxy":         {"/again/1", "do", false, closeConnection, "done", 2, false},
+		"stream and proxy":       {"/stream/1", stream, false, closeConnection, stream + "id: 3\ndata: e3\n\n", 2, false},
+		"stream and reset":       {"/stream/1", stream, false, resetConnection, stream + "id: 3\ndata: e3\n\n", 2, false},
+		"stream and restart":     {"/stream/1", stream, false, otherIncarnation, stream + "id: 3\ndata: e3\n\n", 2, false},
+		"stream and another":     {"/stream/1", stream, false, misdirected, stream + "id: 3\ndata: e3\n\n", 2, false},
+		"stream and full server": {"/stream/1", stream, false, notRun, stream, 1, false},
+		"stream and slow server": {"/stream/1", stream, false, silent, stream, 1, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			var first *fakeServer
+			s := newTestGateway(t)
 			first = newFakeServer(t, func(conn net.Conn, r *http.Request) bool {
+				if test.leaving {
+					s.gateway.mu.Lock()
+					v := *s.gateway.view
+					s.gateway.mu.Unlock()
+					v.Servers = slices.Clone(v.Servers)
+					v.Servers[0].Draining = true
+					s.gateway.Update(&v)
+				}
 				fmt.Fprint(conn, head(r)+test.body)
 				if test.ends {
 					first.listener.Close()
@@ -261,7 +276,6 @@
 				}
 				return events(conn, r, 3, true, "")
 			})
-			s := newTestGateway(t)
 			s.replaceServers(first)
 			s.gateway.mu.Lock()
 			v := *s.gateway.view
--- a/internal/coordination/pool/leaving.go
+++ b/internal/coordination/pool/leaving.go
@@ -32,7 +32,7 @@
 // MaxClosed. It reports whether that is longer than was known before.
 func (p *Pool) Close(now time.Time, id string, startedMS uint64, length time.Duration) bool {
 	s := p.servers[id]
-	if s == nil || s.info.StartedMS != startedMS {
+	if s == nil || s.info.StartedMS != startedMS || length <= 0 {
 		return false
 	}
 	until := now.Add(min(length, MaxClosed))
--- a/internal/coordination/registrar/drain.go
+++ b/internal/coordination/registrar/drain.go
@@ -29,24 +29,21 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	err := checkDrain(req)
-	known := req.KnownIndex
+	order := &peer.DrainRequest{FailureDomain: req.FailureDomain, Drained: req.Drained, Forwarded: true, KnownIndex: req.KnownIndex}
 	if err == nil && !req.Forwarded {
-		index := r.drainIndex()
-		known = &index
+		known := r.drainIndex()
+		order.KnownIndex = &known
 		err = r.checkWanted(ctx)
 	}
 	if err == nil {
 		err = r.onLeader(ctx, req.Forwarded, func(log *replica.Replica, state *registry.Registry) error {
-			return r.proposeDrain(ctx, log, state, req, known)
+			return r.proposeDrain(ctx, log, state, order)
 		}, func(leader peer.Directory) error {
-			_, err := leader.Drain(ctx, &peer.DrainRequest{FailureDomain: req.FailureDomain, Drained: req.Drained, Forwarded: true, KnownIndex: known})
+			_, err := leader.Drain(ctx, order)
 			return err
 		})
 	}
-	if known == nil {
-		known = new(uint64) // for the log
-	}
-	r.log.Info("drain request", "failure_domain", req.FailureDomain, "drained", req.Drained, "forwarded", req.Forwarded, "known_index", *known, "error", err)
+	r.log.Info("drain request", "failure_domain", req.FailureDomain, "drained", req.Drained, "forwarded", req.Forwarded, "known_index", order.GetKnownIndex(), "error", err)
 	if err != nil {
 		return nil, r.refuse("drain", err)
 	}
@@ -82,9 +79,10 @@
 }
 
 // proposeDrain proposes an order unless the failure domain was changed after the
-// index that the receiving registrar knew. Orders are proposed one at a time, so
-// that none is committed between the check and the proposal.
-func (r *Registrar) proposeDrain(ctx context.Context, log *replica.Replica, state *registry.Registry, req *peer.DrainRequest, known *uint64) error {
+// index that the receiving registrar knew; registrars of earlier builds send none.
+// Orders are proposed one at a time, so that none is committed between the check and
+// the proposal.
+func (r *Registrar) proposeDrain(ctx context.Context, log *replica.Replica, state *registry.Registry, order *peer.DrainRequest) error {
 	select {
 	case r.drainProposal <- struct{}{}:
 		defer func() { <-r.drainProposal }()
@@ -96,11 +94,12 @@
 	}
 	// An order that changes nothing is proposed too: an earlier one may still be in
 	// the log without being committed.
-	drained, changed := state.DrainState(req.FailureDomain)
-	if drained != req.Drained && known != nil && changed > *known {
-		return fault.New(fault.Unavailable, "failure domain %s was changed at index %d, after the index %d that the order is based on", req.FailureDomain, changed, *known)
+	drained, changed := state.DrainState(order.FailureDomain)
+	if drained != order.Drained && order.KnownIndex != nil && changed > *order.KnownIndex {
+		return fault.New(fault.Unavailable, "failure domain %s was changed at index %d, after the index %d that the order is based on",
+			order.FailureDomain, changed, *order.KnownIndex)
 	}
-	result, err := log.Propose(ctx, registry.DrainCommand(time.Now(), req.FailureDomain, req.Drained))
+	result, err := log.Propose(ctx, registry.DrainCommand(time.Now(), order.FailureDomain, order.Drained))
 	if err != nil {
 		return err
 	}
--- a/internal/coordination/registrar/follow.go
+++ b/internal/coordination/registrar/follow.go
@@ -242,8 +242,8 @@
 			connected = true
 		}
 		req.Epoch, req.Since = res.Epoch, res.Version
-		r.recordResponse(res)
 		r.apply("registrar", res.Announcements...)
+		r.recordResponse(res)
 	}
 }
 
