registrar: hand out a catalog together with the backend servers of its services

Cause: since announcements of services that no catalog lists are kept apart, those that came before the first catalog were applied only once its services had been decoded, after the catalog itself had been handed out. Entries that had just started adopted it without any backend server.

Change: a received catalog is handed out by one goroutine, which decodes the services first and lists them in the same step. In a storm of configurations only the newest is decoded.

TestCatalogWithServers fails without the change: "handed out with 0 backend servers".

--- a/internal/coordination/registrar/follow.go
+++ b/internal/coordination/registrar/follow.go
@@ -256,7 +256,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.catalog.Version, r.drained.Index, r.quarantined.index
+	return r.received.Version, r.drained.Index, r.quarantined.index
 }
 
 // recordResponse records the state of the group that another registrar reported.
@@ -276,9 +276,8 @@
 		r.quorumAt = time.Now()
 	}
 	changed := false
-	if res.CatalogVersion > r.catalog.Version && len(res.Catalog) > 0 {
-		r.catalog, changed = registry.Catalog{Version: res.CatalogVersion, Data: res.Catalog}, true
-		r.log.Info("catalog received", "version", res.CatalogVersion)
+	if len(res.Catalog) > 0 {
+		r.receiveCatalog(registry.Catalog{Version: res.CatalogVersion, Data: res.Catalog})
 	}
 	if res.DrainIndex > r.drained.Index {
 		r.drained, changed = registry.DrainedDomains{Index: res.DrainIndex, FailureDomains: res.Drained}, true
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -105,6 +105,8 @@
 	interruptions *suspend.Detector
 	// drainProposal holds an element while a drain order is checked and proposed.
 	drainProposal chan struct{}
+	// catalogReceived holds an element while received has not been published.
+	catalogReceived chan struct{}
 	// evidenceAdded holds an element while evidence has not been checked.
 	evidenceAdded chan struct{}
 
@@ -112,11 +114,12 @@
 	table   *directory.Table
 	changed chan struct{} // closed at the next change
 	entries map[string]*entryState
-	// catalog and drained are the newest seen, also while the log is closed.
-	// listedVersion is the version of the catalog whose services table lists.
-	catalog       registry.Catalog
-	listedVersion uint64
-	drained       registry.DrainedDomains
+	// received is the newest catalog seen, also while the log is closed, and catalog
+	// the one that is handed out. table lists the services of the latter.
+	received registry.Catalog
+	catalog  registry.Catalog
+	// drained is the newest seen.
+	drained registry.DrainedDomains
 	// quarantined is the newest seen, and evidence is what entries have observed.
 	quarantined quarantinedParts
 	evidence    *quarantine.Evidence
@@ -163,6 +166,8 @@
 		interruptions: suspend.New(ctx, suspend.Clock),
 		drainProposal: make(chan struct{}, 1),
 
+		catalogReceived: make(chan struct{}, 1),
+
 		evidence:      quarantine.NewEvidence(),
 		evidenceAdded: make(chan struct{}, 1),
 
@@ -178,7 +183,7 @@
 		go r.maintainQuarantine(ctx)
 	}
 	go r.expire(ctx)
-	go r.maintainServices(ctx)
+	go r.publishCatalogs(ctx)
 	go r.followPeers(ctx)
 	return r, nil
 }
@@ -226,40 +231,45 @@
 	return service == "" || r.table.IsListed(service)
 }
 
-// maintainServices keeps the services that the table lists up to date with the
-// catalog. Catalogs are large, so they are not decoded where they are received.
-func (r *Registrar) maintainServices(ctx context.Context) {
+// receiveCatalog records a catalog that is newer than the last one. The caller holds
+// r.mu.
+func (r *Registrar) receiveCatalog(catalog registry.Catalog) {
+	if catalog.Version <= r.received.Version {
+		return
+	}
+	r.received = catalog
+	select {
+	case r.catalogReceived <- struct{}{}:
+	default: // the newest one is published next
+	}
+}
+
+// publishCatalogs makes the newest catalog received the one that is handed out. The
+// backend servers of its services are listed at the same time: an entry that has the
+// catalog without them refuses requests. Large catalogs take long to decode, so that
+// this is not done where they are received.
+func (r *Registrar) publishCatalogs(ctx context.Context) {
 	for {
-		r.mu.Lock()
-		catalog, changed := r.catalog, r.changed
-		r.mu.Unlock()
-		r.listServices(catalog)
 		select {
 		case <-ctx.Done():
 			return
-		case <-changed:
+		case <-r.catalogReceived:
 		}
-	}
-}
-
-// listServices applies the services of a catalog to the table.
-func (r *Registrar) listServices(catalog registry.Catalog) {
-	r.mu.Lock()
-	known := catalog.Version <= r.listedVersion
-	r.mu.Unlock()
-	if known {
-		return
-	}
-	names, err := r.cfg.Services(catalog.Data)
-	if err != nil {
-		r.log.Error("services of a catalog cannot be decoded", "version", catalog.Version, "error", err)
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.listedVersion = catalog.Version
-	if err == nil && r.table.SetServices(time.Now(), names) {
-		r.log.Info("kept announcements applied", "version", catalog.Version, "services", len(names))
+		r.mu.Lock()
+		catalog := r.received
+		r.mu.Unlock()
+		names, err := r.cfg.Services(catalog.Data)
+		if err != nil {
+			r.log.Error("services of a catalog cannot be decoded", "version", catalog.Version, "error", err)
+		}
+		r.mu.Lock()
+		if err == nil {
+			r.table.SetServices(time.Now(), names)
+		}
+		r.catalog = catalog
 		r.wakeFollowers()
+		r.mu.Unlock()
+		r.log.Info("catalog published", "version", catalog.Version, "bytes", len(catalog.Data), "services", len(names))
 	}
 }
 
@@ -302,7 +312,7 @@
 			if a.Service != "" && !r.table.IsListed(a.Service) {
 				r.scope.Counter("announcements_unlisted").Inc(1)
 				r.log.Debug("announcement of a service that the catalog does not list", "backend_server", a.Id, "service", a.Service, "address", a.Address,
-					"catalog_version", r.listedVersion, "source", source)
+					"catalog_version", r.catalog.Version, "source", source)
 			}
 			continue
 		}
@@ -341,10 +351,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changed := false
-	if catalog.Version > r.catalog.Version {
-		r.catalog, changed = catalog, true
-		r.log.Info("catalog committed", "version", catalog.Version, "bytes", len(catalog.Data))
-	}
+	r.receiveCatalog(catalog)
 	if drained.Index > r.drained.Index {
 		r.drained, changed = drained, true
 		r.log.Info("drained failure domains committed", "index", drained.Index, "drained", drained.FailureDomains)
--- a/internal/coordination/registrar/registrar_test.go
+++ b/internal/coordination/registrar/registrar_test.go
@@ -31,6 +31,8 @@
 	t     *testing.T
 	seeds []string
 	nodes map[string]*node
+	// decodeTime is how long it takes to decode the services of a catalog.
+	decodeTime time.Duration
 }
 
 type node struct {
@@ -65,7 +67,10 @@
 	r, err := New(ctx, Config{
 		Cluster: "test", Address: address, FailureDomain: "fes", Folder: folder,
 		Seeds: func() []string { return g.seeds }, Bootstrap: bootstrap, Voters: len(g.seeds),
-		Services: func([]byte) ([]string, error) { return []string{"pool"}, nil },
+		Services: func([]byte) ([]string, error) {
+			time.Sleep(g.decodeTime)
+			return []string{"pool"}, nil
+		},
 	}, hclog.NewNullLogger(), tally.NoopScope)
 	if err != nil {
 		g.t.Fatal(err)
--- a/internal/coordination/registrar/replay_test.go
+++ b/internal/coordination/registrar/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -85,3 +86,30 @@
 		t.Errorf("version %d is handed out without a quorum", version)
 	}
 }
+
+// TestCatalogWithServers guards against a catalog that is handed out before the backend
+// servers of its services, which have announced themselves earlier: an entry that has
+// just started would refuse all requests.
+func TestCatalogWithServers(t *testing.T) {
+	g := newGroup(t, 3)
+	g.decodeTime = 100 * time.Millisecond
+	a := &peer.Announcement{
+		Id: "s1", BornMs: 1, Sequence: 1, Service: "pool", Address: "127.0.0.1:9", FailureDomain: "fes", State: peer.BackendState_BACKEND_STATE_READY,
+	}
+	n := g.nodes[g.seeds[0]]
+	if err := n.Announce(t.Context(), a); err != nil {
+		t.Fatal(err)
+	}
+	go g.replace(n, 1, "one")
+	req := &peer.FollowRequest{Node: &peer.Node{Id: "watcher", Role: peer.Role_ROLE_ENTRY}, WaitMs: 1000}
+	g.eventually("hand out the catalog", func() error {
+		res, err := n.Follow(t.Context(), req)
+		if err != nil || res.CatalogVersion == 0 {
+			return errors.Join(err, errors.New("no catalog"))
+		}
+		if len(res.Announcements) != 1 {
+			t.Errorf("version %d is handed out with %d backend servers, want 1", res.CatalogVersion, len(res.Announcements))
+		}
+		return nil
+	})
+}
