gateway, standin: resume a stream without a length if nobody says who serves

Change: without an answer to the health check, what may be repeated is asked for again: the next backend server sends what is missing, or nothing. What must not repeat keeps its answer.

--- a/internal/coordination/gateway/ending.go
+++ b/internal/coordination/gateway/ending.go
@@ -81,12 +81,15 @@
 	g := a.call.gateway
 	server := quarantine.Incarnation{ID: a.assigned.Server.ID, StartedMS: a.assigned.Server.StartedMS}
 	ctx, address := a.call.request.Context(), a.assigned.Server.Address
-	ended := g.hasEnded(ctx, server, address)
+	ended, known := g.hasEnded(ctx, server, address), true
 	if check := g.healthCheck(a.call.service); !ended && check != "" {
-		ended = g.client.HasBeenReplaced(ctx, address, check, server.ID)
+		var serving bool
+		serving, known = g.client.IsServing(ctx, address, check, server.ID)
+		ended = !serving
 	}
-	if !ended || (g.isLeaving(server) && !a.call.mayRepeat()) {
-		// A backend server that leaves ends after its last answer.
+	if !ended || ((!known || g.isLeaving(server)) && !a.call.mayRepeat()) {
+		// A backend server that leaves ends after its last answer, and one that is
+		// busy answers late. What may be repeated is asked for again all the same.
 		return nil
 	}
 	g.metrics.count("backend_servers_ended", "with_answer")
--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -327,11 +327,11 @@
 	return false
 }
 
-// HasBeenReplaced reports whether the incarnation that served an address no longer
-// does. It requests the health check: a proxy before the backend server accepts
-// connections also when that has ended, and another incarnation may have started. The
-// answer is false if there is none in time.
-func (c *Client) HasBeenReplaced(ctx context.Context, address, healthCheck, incarnation string) bool {
+// IsServing reports whether the incarnation that served an address still does. It
+// requests the health check: a proxy before the backend server accepts connections
+// also when that has ended, and another incarnation may have started. Known is false
+// if there is no answer in time.
+func (c *Client) IsServing(ctx context.Context, address, healthCheck, incarnation string) (serving, known bool) {
 	ctx, cancel := context.WithTimeout(ctx, endedTimeout)
 	defer cancel()
 	req := &Request{
@@ -340,11 +340,11 @@
 	}
 	res, err := c.Send(ctx, address, req)
 	if err != nil {
-		return ctx.Err() == nil && !isTimeout(err)
+		return false, ctx.Err() == nil && !isTimeout(err)
 	}
 	defer res.Close()
-	serving := res.Header.Get(c.headers.Incarnation)
-	return res.Status == http.StatusMisdirectedRequest || (serving != "" && serving != incarnation)
+	answered := res.Header.Get(c.headers.Incarnation)
+	return res.Status != http.StatusMisdirectedRequest && (answered == "" || answered == incarnation), true
 }
 
 func isTimeout(err error) bool {
