--- a/internal/acceptance/system_test.go
+++ b/internal/acceptance/system_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -412,13 +413,18 @@
 	return 0
 }
 
+// areFree reports whether no one listens on n consecutive ports. It connects: a
+// listener of its own would stay open in a child process that another test starts at
+// the same moment, until that process calls exec, and take the port from its owner.
 func areFree(first, n int) bool {
 	for port := first; port < first+n; port++ {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
+		conn, err := net.Dial("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			conn.Close()
+		}
+		if !errors.Is(err, syscall.ECONNREFUSED) {
 			return false
 		}
-		l.Close()
 	}
 	return true
 }
