gateway, backend: log how the end of an answer without a length was judged

Cause: an answer that counted as complete left no line, so that the hypotheses on early ends could not be told apart.

Change: one line for each answer without a length or chunks, with what the connection and the health check gave and the outcome; a counter answers_without_length. No change of logic: IsServing is now CheckHealth and also returns status and incarnation.

--- a/internal/coordination/gateway/ending.go
+++ b/internal/coordination/gateway/ending.go
@@ -81,21 +81,35 @@
 	g := a.call.gateway
 	server := quarantine.Incarnation{ID: a.assigned.Server.ID, StartedMS: a.assigned.Server.StartedMS}
 	ctx, address := a.call.request.Context(), a.assigned.Server.Address
-	ended, known := g.hasEnded(ctx, server, address), true
-	if check := g.healthCheck(a.call.service); !ended && check != "" {
-		var serving bool
-		serving, known = g.client.IsServing(ctx, address, check, server.ID)
-		ended = !serving
+	begin := time.Now()
+	refused := g.hasEnded(ctx, server, address)
+	health := backend.HealthCheck{Serving: !refused, Answered: true}
+	if path := g.healthCheck(a.call.service); !refused && path != "" {
+		health = g.client.CheckHealth(ctx, address, path, server.ID)
 	}
-	if !ended || ((!known || g.isLeaving(server)) && !a.call.mayRepeat()) {
-		// A backend server that leaves ends after its last answer, and one that is
-		// busy answers late. What may be repeated is asked for again all the same.
+	leaving := g.isLeaving(server)
+	// A backend server that leaves ends after its last answer, and one that is busy
+	// answers late. What may be repeated is asked for again all the same.
+	complete := health.Serving || ((!health.Answered || leaving) && !a.call.mayRepeat())
+	g.metrics.count("answers_without_length", completeness(complete))
+	g.log.Info("answer without a length ended", "request_id", a.call.id, "backend_server", server.ID, "born_ms", server.StartedMS,
+		"complete", complete, "events", a.events, "last_event", a.call.stream.lastID, "repeatable", a.call.mayRepeat(), "leaving", leaving,
+		"refuses_connections", refused, "health_answered", health.Answered, "health_status", health.Status, "health_incarnation", health.Incarnation,
+		"held_ms", begin.Sub(a.started).Milliseconds(), "check_ms", time.Since(begin).Milliseconds())
+	if complete {
 		return nil
 	}
 	g.metrics.count("backend_servers_ended", "with_answer")
 	return errEndedWithServer
 }
 
+func completeness(complete bool) string {
+	if complete {
+		return "complete"
+	}
+	return "incomplete"
+}
+
 // healthCheck returns the path of a service's health check, or "".
 func (g *Gateway) healthCheck(service string) string {
 	g.mu.Lock()
--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -327,11 +327,23 @@
 	return false
 }
 
-// IsServing reports whether the incarnation that served an address still does. It
+// HealthCheck is the result of a health check.
+type HealthCheck struct {
+	// Serving reports that the expected incarnation serves the address. It is false
+	// if there was no answer in time.
+	Serving bool
+	// Answered reports that the connection had an answer or ended; it is false if
+	// neither happened in time.
+	Answered bool
+	// Status and Incarnation are those of the answer, if any.
+	Status      int
+	Incarnation string
+}
+
+// CheckHealth checks whether the incarnation that served an address still does. It
 // requests the health check: a proxy before the backend server accepts connections
-// also when that has ended, and another incarnation may have started. Known is false
-// if there is no answer in time.
-func (c *Client) IsServing(ctx context.Context, address, healthCheck, incarnation string) (serving, known bool) {
+// also when that has ended, and another incarnation may have started.
+func (c *Client) CheckHealth(ctx context.Context, address, healthCheck, incarnation string) HealthCheck {
 	ctx, cancel := context.WithTimeout(ctx, endedTimeout)
 	defer cancel()
 	req := &Request{
@@ -340,11 +352,14 @@
 	}
 	res, err := c.Send(ctx, address, req)
 	if err != nil {
-		return false, ctx.Err() == nil && !isTimeout(err)
+		return HealthCheck{Answered: ctx.Err() == nil && !isTimeout(err)}
 	}
 	defer res.Close()
 	answered := res.Header.Get(c.headers.Incarnation)
-	return res.Status != http.StatusMisdirectedRequest && (answered == "" || answered == incarnation), true
+	return HealthCheck{
+		Serving:  res.Status != http.StatusMisdirectedRequest && (answered == "" || answered == incarnation),
+		Answered: true, Status: res.Status, Incarnation: answered,
+	}
 }
 
 func isTimeout(err error) bool {
