backend: a witness that ends before the answer is read is kept in mind

Cause: the witness's connection had ended at another moment than the answer, whose bytes were late, and counted for nothing (first_witness "lost"); the next one found the incarnation serving. A slow caller has the same effect when its backend server crashes and is back under its id: the end is read seconds after it happened.

Change: a connection of the witness that ends too young for an idle timeout, or up to 500 ms before the end, is evidence of an end. Older ones that end are replaced at once, which a backend server that has ended refuses.

--- a/internal/protocol/backend/witness.go
+++ b/internal/protocol/backend/witness.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -14,9 +15,15 @@
 	// settleTime is the time within which the connections of a process that ends are
 	// closed, one after the other.
 	settleTime = 50 * time.Millisecond
-	// lostBefore is how long before the end of an answer the connection of its witness
-	// may have ended because of the same event.
-	lostBefore = 20 * time.Millisecond
+	// maxBacklogTime is how long after a process has ended the last bytes of its answer
+	// may still arrive: they wait behind others, or for the caller.
+	maxBacklogTime = 500 * time.Millisecond
+	// minIdleTimeout is the least time after which a backend server closes an idle
+	// connection. It is announced in whole seconds.
+	minIdleTimeout = 900 * time.Millisecond
+	// maxWitnessConns bounds the connections of one witness, which replace idle ones
+	// that timed out.
+	maxWitnessConns = 16
 )
 
 //go:generate go tool stringer -type=Presence -linecomment -output=presence_string.go
@@ -27,8 +34,7 @@
 const (
 	// Unknown: it has not answered in time.
 	Unknown Presence = iota // unknown
-	// Lost: the connection was of no use, since it ended at another moment or was
-	// reset.
+	// Lost: the connection was of no use, since it was reset.
 	Lost // lost
 	// Serving: the process that sent the answer has answered after its end.
 	Serving // serving
@@ -44,34 +50,72 @@
 	client  *Client
 	address string
 	cancel  context.CancelFunc
-	opened  chan struct{} // closed when conn and dialErr are set
-	conn    *conn
+	opened  chan struct{} // closed when the first connection is open or has failed
+
+	mu      sync.Mutex
+	current *witnessConn // nil if none could be opened
 	dialErr error
-	stop    func() bool   // keeps conn open although the context has ended
-	ended   chan struct{} // closed when the connection has bytes or has ended
-	endedAt time.Time
-	readErr error
+	// ended is set once a connection has ended that was too young for an idle timeout,
+	// and lastEnd is when the last one ended.
+	ended   bool
+	lastEnd time.Time
+}
+
+// witnessConn is one connection of a witness.
+type witnessConn struct {
+	*conn
+	stop     func() bool // keeps it open although the context has ended
+	readable chan struct{}
+	readErr  error // set when readable is closed
 }
 
 // Watch opens a witness for an answer that has begun. Close must be called.
 func (c *Client) Watch(ctx context.Context, address string) *Witness {
 	ctx, cancel := context.WithCancel(ctx)
-	w := &Witness{client: c, address: address, cancel: cancel, opened: make(chan struct{}), ended: make(chan struct{})}
+	w := &Witness{client: c, address: address, cancel: cancel, opened: make(chan struct{})}
 	go func() {
-		w.conn, w.dialErr = c.connect(ctx, address, false)
-		if w.dialErr != nil {
-			close(w.opened)
-			return
+		for n := range maxWitnessConns {
+			cn := w.open(ctx)
+			if n == 0 {
+				close(w.opened)
+			}
+			if cn == nil || !w.watch(ctx, cn) {
+				return
+			}
 		}
-		w.stop = context.AfterFunc(ctx, func() { w.conn.Close() })
-		close(w.opened)
-		_, w.readErr = w.conn.reader.Peek(1)
-		w.endedAt = time.Now()
-		close(w.ended)
 	}()
 	return w
 }
 
+// open opens a connection.
+func (w *Witness) open(ctx context.Context) *witnessConn {
+	cn, err := w.client.connect(ctx, w.address, false)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err != nil {
+		w.current, w.dialErr = nil, err
+		return nil
+	}
+	w.current = &witnessConn{conn: cn, readable: make(chan struct{}), stop: context.AfterFunc(ctx, func() { cn.Close() })}
+	return w.current
+}
+
+// watch waits for the end of a connection, and reports whether another one should be
+// opened.
+func (w *Witness) watch(ctx context.Context, cn *witnessConn) bool {
+	opened := time.Now()
+	_, cn.readErr = cn.reader.Peek(1)
+	ended := time.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	defer close(cn.readable)
+	if !errors.Is(cn.readErr, io.EOF) || ctx.Err() != nil {
+		return false // the answer to the health check, a reset, or Close
+	}
+	w.lastEnd, w.ended = ended, w.ended || ended.Sub(opened) < minIdleTimeout
+	return !w.ended
+}
+
 // Close closes the connection, unless Check has put it back for reuse.
 func (w *Witness) Close() { w.cancel() }
 
@@ -79,58 +123,78 @@
 // requests the health check and waits until timeout for its answer, which may be of any
 // status. It must be called once.
 func (w *Witness) Check(ctx context.Context, timeout time.Duration, healthCheck, incarnation string) (p Presence, status int) {
-	end := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, timeout+settleTime)
 	defer cancel()
+	p, cn := w.settle(ctx)
+	if p != Serving {
+		return p, 0
+	}
+	return w.request(ctx, cn, healthCheck, incarnation)
+}
+
+// CheckConnection is Check without a health check: on the host of the backend server
+// itself, where nothing is lost, an open connection is enough.
+func (w *Witness) CheckConnection(ctx context.Context) Presence {
+	p, _ := w.settle(ctx)
+	return p
+}
+
+// settle waits until the connections of a process that has ended are closed. Serving
+// means that a connection of the witness is still open.
+func (w *Witness) settle(ctx context.Context) (Presence, *witnessConn) {
+	end := time.Now()
 	select {
 	case <-w.opened:
 	case <-ctx.Done():
-		return Unknown, 0
+		return Unknown, nil
 	}
-	if w.dialErr != nil {
-		if errors.Is(w.dialErr, syscall.ECONNREFUSED) {
-			return Ended, 0
-		}
-		return Unknown, 0
+	w.mu.Lock()
+	cn, dialErr, ended := w.current, w.dialErr, w.ended || end.Sub(w.lastEnd) < maxBacklogTime
+	w.mu.Unlock()
+	switch {
+	case ended || errors.Is(dialErr, syscall.ECONNREFUSED):
+		return Ended, nil
+	case cn == nil:
+		return Unknown, nil
 	}
 	select {
-	case <-w.ended:
-		if errors.Is(w.readErr, io.EOF) && w.endedAt.After(end.Add(-lostBefore)) {
-			return Ended, 0
+	case <-cn.readable:
+		if errors.Is(cn.readErr, io.EOF) {
+			return Ended, nil
 		}
-		return Lost, 0
+		return Lost, nil
 	case <-time.After(settleTime):
+		return Serving, cn
 	case <-ctx.Done():
-		return Unknown, 0
+		return Unknown, nil
 	}
-	return w.request(ctx, healthCheck, incarnation)
 }
 
 // request requests the health check.
-func (w *Witness) request(ctx context.Context, healthCheck, incarnation string) (p Presence, status int) {
+func (w *Witness) request(ctx context.Context, cn *witnessConn, healthCheck, incarnation string) (p Presence, status int) {
 	headers := &w.client.headers
 	req := &Request{
 		Method: http.MethodGet, Target: healthCheck, Host: w.address,
 		Header: http.Header{http.CanonicalHeaderKey(headers.ExpectedIncarnation): {incarnation}},
 	}
-	if err := req.write(w.conn); err != nil {
+	if err := req.write(cn); err != nil {
 		return Lost, 0
 	}
 	select {
-	case <-w.ended:
+	case <-cn.readable:
 	case <-ctx.Done():
 		return Unknown, 0
 	}
 	deadline, _ := ctx.Deadline() // set by Check
-	w.conn.SetReadDeadline(deadline)
-	http1, err := w.client.readResponse(w.conn, req)
+	cn.SetReadDeadline(deadline)
+	http1, err := w.client.readResponse(cn.conn, req)
 	if err != nil {
 		if isTimeout(err) {
 			return Unknown, 0
 		}
 		return Lost, 0
 	}
-	w.reuse(http1)
+	w.reuse(cn, http1)
 	answered := http1.Header.Get(headers.Incarnation)
 	if http1.StatusCode == http.StatusMisdirectedRequest || (answered != "" && answered != incarnation) {
 		return Ended, http1.StatusCode
@@ -139,11 +203,11 @@
 }
 
 // reuse puts the connection back after a response with a short body.
-func (w *Witness) reuse(res *http.Response) {
+func (w *Witness) reuse(cn *witnessConn, res *http.Response) {
 	_, err := io.CopyN(io.Discard, res.Body, maxSkippedBytes)
-	if err != io.EOF || res.Close || w.conn.reader.Buffered() > 0 || w.conn.SetDeadline(time.Time{}) != nil || !w.stop() {
+	if err != io.EOF || res.Close || cn.reader.Buffered() > 0 || cn.SetDeadline(time.Time{}) != nil || !cn.stop() {
 		return
 	}
-	w.conn.expires = time.Now().Add(idleTimeout(res.Header))
-	w.client.putIdle(w.conn)
+	cn.expires = time.Now().Add(idleTimeout(res.Header))
+	w.client.putIdle(cn.conn)
 }
