runner, engine: an answer without a length needs a witness on the own path too

What callers saw: half of the answer of a plain service, ended as complete, and the same half for each repeat of the key.

Cause: the agent took the end of the connection for the end of the answer.

Evidence: TestPlainCalls, row "no length, crash", fails before: got end, ledger has 200.

--- a/internal/coordination/runner/call.go
+++ b/internal/coordination/runner/call.go
@@ -211,6 +211,8 @@
 		return err
 	}
 	defer resp.Body.Close()
+	witness := c.role.client.Watch(ctx, c.info.Address, resp)
+	defer witness.Close()
 	c.stored = &peer.StoredAnswer{Status: uint32(resp.StatusCode), Headers: responseHeaders(resp.Header)}
 	c.enqueue(part{status: resp.StatusCode, header: resp.Header})
 	for {
@@ -227,6 +229,10 @@
 			return c.readFault(ctx, err)
 		}
 	}
+	if err := witness.Confirm(ctx); err != nil {
+		c.role.log.Info("answer without a length may be incomplete", "request", c.key.RequestID, "backend_server", c.info.Name, "error", err)
+		return err
+	}
 	if c.isModel() && !c.stored.TooLarge {
 		c.response = engine.ParseCompletionResponse(c.stored.Body)
 	}
--- a/internal/coordination/runner/call_test.go
+++ b/internal/coordination/runner/call_test.go
@@ -32,6 +32,8 @@
 		"reset before run":    {control: standin.PlainControl{ResetConnections: 1}, want: "backend_failed/unknown", runs: 0, outcome: "unknown"},
 		"answer lost":         {control: standin.PlainControl{DropAnswers: 1}, want: "backend_failed/unknown", runs: 1, outcome: "unknown"},
 		"answer cut":          {control: standin.PlainControl{TruncateAnswers: 1}, path: "/orders?bytes=100000", want: "backend_failed/unknown", runs: 1, outcome: "unknown", bodySize: 50_000},
+		"no length":           {control: standin.PlainControl{UnframedAnswers: 1}, path: "/orders?bytes=100", want: "end", runs: 1, outcome: "200", bodySize: 100},
+		"no length, crash":    {control: standin.PlainControl{UnframedAnswers: 1, CrashAnswers: 1}, path: "/orders?bytes=100", want: "backend_failed/unknown", runs: 1, outcome: "unknown", bodySize: 50},
 		"swapped answer":      {control: standin.PlainControl{SwapRequestIDs: 1}, want: "checksum_mismatch/unknown", runs: 1, outcome: "unknown"},
 		"repeatable is reset": {control: standin.PlainControl{ResetConnections: 1}, method: "GET", path: "/stock/1", want: "backend_failed/unknown", runs: 0},
 	}
--- a/internal/protocol/engine/engine.go
+++ b/internal/protocol/engine/engine.go
@@ -44,6 +44,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"oleanderrack.example/oleanderrack/internal/protocol/backend"
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
 
@@ -65,13 +66,14 @@
 
 // Client sends requests to backend servers. It is safe for concurrent use.
 type Client struct {
-	http *http.Client
+	http    *http.Client
+	watcher *backend.Client
 }
 
 // New returns a Client.
 func New() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{http: &http.Client{
+	return &Client{watcher: backend.New(backend.HeaderNames{}), http: &http.Client{
 		Transport: &http.Transport{
 			DialContext:            dialer.DialContext,
 			DisableKeepAlives:      true,
@@ -132,6 +134,39 @@
 	return resp, nil
 }
 
+// Witness tells whether a backend server has outlived its answer. Without a length or
+// chunks, a crash looks like the end of the answer.
+type Witness struct {
+	witness *backend.Witness // nil if the answer shows its end itself
+}
+
+// Watch returns a witness for an answer that has begun. Close must be called.
+func (c *Client) Watch(ctx context.Context, address string, resp *http.Response) Witness {
+	if resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody {
+		return Witness{}
+	}
+	return Witness{witness: c.watcher.Watch(ctx, address)}
+}
+
+// Confirm returns an error, which is BackendFailed, if an answer that was read to its
+// end may be incomplete.
+func (w Witness) Confirm(ctx context.Context) error {
+	if w.witness == nil {
+		return nil
+	}
+	if p := w.witness.CheckConnection(ctx); p != backend.Serving {
+		return fault.New(fault.BackendFailed, "answer of the backend server may be incomplete: its server is %s", p)
+	}
+	return nil
+}
+
+// Close ends the watch.
+func (w Witness) Close() {
+	if w.witness != nil {
+		w.witness.Close()
+	}
+}
+
 func sendFault(ctx context.Context, err error, connected bool) error {
 	if !connected {
 		return fault.Wrap(err, fault.Unavailable, "backend server cannot be reached")
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -51,6 +51,11 @@
 	// TruncateAnswers is the number of requests that are executed, but whose
 	// connection is closed after half of the answer.
 	TruncateAnswers int `json:"cut"`
+	// UnframedAnswers is the number of requests that are answered with neither a
+	// length nor chunks, and CrashAnswers the number of those in the middle of which
+	// the service ends.
+	UnframedAnswers int `json:"unframed"`
+	CrashAnswers    int `json:"crash"`
 	// SwapRequestIDs is the number of requests that are answered with the id of
 	// another request.
 	SwapRequestIDs int  `json:"swap"`
@@ -139,6 +144,7 @@
 type requestPlan struct {
 	delay                         time.Duration
 	reset, drop, truncate, swapID bool
+	unframed, crash               bool
 	refused                       bool
 }
 
@@ -197,6 +203,8 @@
 		plan.drop = true
 	case consume(&p.control.TruncateAnswers):
 		plan.truncate = true
+	case consume(&p.control.UnframedAnswers):
+		plan.unframed, plan.crash = true, consume(&p.control.CrashAnswers)
 	case consume(&p.control.SwapRequestIDs):
 		plan.swapID = true
 	}
@@ -227,7 +235,9 @@
 
 func (p *Plain) writeAnswer(w http.ResponseWriter, r *http.Request, plan requestPlan, a plainAnswer) {
 	size, _ := strconv.Atoi(r.URL.Query().Get("bytes"))
-	if size <= 0 && !plan.truncate {
+	if plan.unframed {
+		p.writeUnframed(w, max(size, 2), plan.crash)
+	} else if size <= 0 && !plan.truncate {
 		writeJSON(w, http.StatusOK, a)
 	} else {
 		size = min(max(size, 2), maxBodyBytes)
@@ -248,6 +258,27 @@
 	p.mu.Unlock()
 }
 
+// writeUnframed writes an answer that ends with its connection, or half of it before
+// the service ends.
+func (p *Plain) writeUnframed(w http.ResponseWriter, size int, crash bool) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n")
+	w.Header().Write(conn)
+	fmt.Fprint(conn, "\r\n")
+	if crash {
+		size /= 2
+	}
+	conn.Write(patternBytes(size))
+	if crash {
+		conn.Close()
+		p.process.terminate()
+	}
+}
+
 // patternBytes returns n bytes of a repeating pattern.
 func patternBytes(n int) []byte {
 	b := make([]byte, n)
