gateway, platform: a draining entry takes only what it can finish

What callers saw: orders that arrived late in the grace of a planned stop and got no answer when the process ended, though they had been passed on (LOST).

Cause: nothing related the time that a request needs to the time that is left.

Ruled out: connections in the accept queue, and idle ones: none of those requests had been passed on or had waited for more than 0.2 s.

--- a/internal/coordination/gateway/admit.go
+++ b/internal/coordination/gateway/admit.go
@@ -68,7 +68,10 @@
 	if err := c.setDeadline(headerNames.DeadlineRemaining); err != nil {
 		return err
 	}
-	return c.readBody(view.Index.Catalog.Limits.BodyBytes)
+	if err := c.readBody(view.Index.Catalog.Limits.BodyBytes); err != nil {
+		return err
+	}
+	return c.checkDrain(time.Now())
 }
 
 // target returns the path and query as the caller sent them.
--- a/internal/coordination/gateway/call.go
+++ b/internal/coordination/gateway/call.go
@@ -98,7 +98,9 @@
 	}
 	// The deadline also bounds writes: a caller that does not read holds memory.
 	http.NewResponseController(c.writer).SetWriteDeadline(c.deadline.Add(writeTimeoutGrace))
-	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline)
+	serving, stopServing := c.gateway.withoutLateEnd(c.request.Context())
+	defer stopServing()
+	ctx, cancel := context.WithDeadline(serving, c.deadline)
 	defer cancel()
 	c.service = c.route.PickService(c.gateway.randomFloat())
 	for {
@@ -145,6 +147,9 @@
 	if until, refused := c.gateway.guard.Check(now, c.parts); refused {
 		return c.fail(fault.New(fault.Quarantined, "a part of the prompt has crashed backend servers").WithRetryAfter(max(minQuarantineRetryAfter, until.Sub(now))), "quarantined")
 	}
+	if c.gateway.serving.Err() != nil {
+		return c.fail(fault.New(fault.Draining, "this entry has ended before the answer was complete").WithRetryAfter(drainRetryAfter), "draining")
+	}
 	return c.fail(fault.New(fault.DeadlineExceeded, "no answer within the deadline"), "deadline")
 }
 
@@ -222,6 +227,7 @@
 	switch o := out.(type) {
 	case delivered:
 		c.gateway.metrics.count("answers", strconv.Itoa(o.status))
+		c.recordDuration(ended)
 		if o.status >= 400 || len(c.attemptLog) > 1 || c.isSampled() {
 			log.Info("answered", fields("status", o.status)...)
 		}
--- /dev/null
+++ b/internal/coordination/gateway/drain.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"oleanderrack.example/oleanderrack/pkg/fault"
+)
+
+const (
+	// durationWindow is how long the longest requests of a service are remembered, at
+	// least.
+	durationWindow = time.Minute
+	// durationMargin is the multiple of the longest recent request for which there must
+	// be time.
+	durationMargin = 1.25
+	// drainRetryAfter sends a caller to another entry at once.
+	drainRetryAfter = time.Millisecond
+	// lastAnswerTime is left for writing answers when serving ends.
+	lastAnswerTime = 100 * time.Millisecond
+)
+
+// durations knows the longest recent requests of a service. The zero value knows none.
+type durations struct {
+	begun           time.Time // of the current window
+	longest, before time.Duration
+}
+
+// add records the time from a request's arrival to its complete answer.
+func (d *durations) add(now time.Time, length time.Duration) {
+	if now.Sub(d.begun) > durationWindow {
+		d.begun, d.before, d.longest = now, d.longest, 0
+	}
+	d.longest = max(d.longest, length)
+}
+
+// fits decides whether a draining entry takes a request: it must end within left. What
+// must not be repeated has until its deadline, if it is not known how long requests take.
+func (d *durations) fits(left, untilDeadline time.Duration, mayRepeat bool) bool {
+	longest := max(d.longest, d.before)
+	if longest == 0 && mayRepeat {
+		return left > 0
+	}
+	need := untilDeadline
+	if longest > 0 {
+		need = min(need, time.Duration(durationMargin*float64(longest)))
+	}
+	return need <= left
+}
+
+// Drain announces that the process ends at a time. Requests that may not fit are
+// refused from now on, and those that are in flight shortly before get an answer then.
+func (g *Gateway) Drain(end time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.drainEnd = end.Add(-lastAnswerTime)
+	time.AfterFunc(time.Until(g.drainEnd), g.stopServing)
+}
+
+// checkDrain returns an error if the entry ends too soon for a request.
+func (c *call) checkDrain(now time.Time) *fault.Error {
+	g := c.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.drainEnd.IsZero() {
+		return nil
+	}
+	left, untilDeadline, known := g.drainEnd.Sub(now), c.deadline.Sub(now), g.durations[c.route.Name]
+	if known == nil {
+		known = &durations{}
+	}
+	if known.fits(left, untilDeadline, c.mayRepeat()) {
+		return nil
+	}
+	return fault.New(fault.Draining, "this entry ends in %d ms, requests of route %s have taken up to %d ms, deadline in %d ms",
+		left.Milliseconds(), c.route.Name, max(known.longest, known.before).Milliseconds(), untilDeadline.Milliseconds()).WithRetryAfter(drainRetryAfter)
+}
+
+// recordDuration records how long a complete answer took.
+func (c *call) recordDuration(now time.Time) {
+	g := c.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known := g.durations[c.route.Name]
+	if known == nil {
+		known = &durations{begun: now}
+		g.durations[c.route.Name] = known
+	}
+	known.add(now, now.Sub(c.arrived))
+}
+
+// forgetDurations forgets routes that are gone. The caller holds g.mu.
+func (g *Gateway) forgetDurations() {
+	if len(g.durations) <= len(g.view.Index.Catalog.Routes) {
+		return
+	}
+	listed := make(map[string]bool, len(g.view.Index.Catalog.Routes))
+	for _, r := range g.view.Index.Catalog.Routes {
+		listed[r.Name] = true
+	}
+	for name := range g.durations {
+		if !listed[name] {
+			delete(g.durations, name)
+		}
+	}
+}
+
+// withoutLateEnd returns a context that also ends when serving ends.
+func (g *Gateway) withoutLateEnd(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(g.serving, cancel)
+	return ctx, func() { stop(); cancel() }
+}
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -104,6 +104,13 @@
 	loggedConditions map[pool.Subject]pool.State
 	targetGap        time.Duration
 	random           *rand.Rand
+	// drainEnd is when serving ends, zero unless the process drains. durations are
+	// those of the requests of each route, by name.
+	drainEnd  time.Time
+	durations map[string]*durations
+	// serving ends, by stopServing, when the process is about to end.
+	serving     context.Context
+	stopServing context.CancelFunc
 }
 
 var _ http.Handler = (*Gateway)(nil)
@@ -122,8 +129,10 @@
 		firstView: make(chan struct{}),
 		endings:   map[quarantine.Incarnation]*ending{},
 		waiting:   map[*pool.Request]chan pool.Decision{}, loggedConditions: map[pool.Subject]pool.State{},
-		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		durations: map[string]*durations{},
 	}
+	g.serving, g.stopServing = context.WithCancel(ctx)
 	go func() {
 		queue, idle := time.NewTicker(queueCheckInterval), time.NewTicker(idleCheckInterval)
 		defer queue.Stop()
@@ -156,6 +165,7 @@
 	now := time.Now()
 	g.guard.SetDecided(now, v.Quarantined)
 	g.pool.Update(now, v)
+	g.forgetDurations()
 	g.deliverDecisions()
 }
 
