backend, gateway: bound the sum of answers without end on a host

What callers saw: an entry that ran out of memory while backend servers sent heads or bodies without end, and all its requests with it.

Cause: 2.3 MB for each head and 1 MB for each event or body, times the number of such answers at once. A head of short lines takes many times its bytes once parsed.

Ruled out: registrars (20 MB in all plays).

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -38,8 +38,10 @@
 	retryCheckInterval = 200 * time.Millisecond
 	// maxBufferedResponse is the size from which on an answer is forwarded while it
 	// is read instead of buffered until it is complete. If it ends early, the
-	// caller's connection is aborted.
+	// caller's connection is aborted. ownResponseBytes of it need no share of the
+	// memory for answers.
 	maxBufferedResponse = 1 << 20
+	ownResponseBytes    = 16 << 10
 )
 
 // errAttemptTimeout is the cause with which a timed out attempt is cancelled.
@@ -276,14 +278,16 @@
 		a.finish(pool.Failed, strconv.Itoa(res.Status)+" without a guarantee that the request has not run")
 		return a.retryOrFail(true, fault.New(fault.BackendFailed, "backend server %s answered %d", a.assigned.Server.ID, res.Status))
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedResponse))
-	if err == nil && len(body) < maxBufferedResponse {
+	reserved := reservation{budget: &c.gateway.answers, own: ownResponseBytes}
+	defer reserved.release()
+	body, whole, err := readBuffered(res.Body, &reserved)
+	if err == nil && whole {
 		err = a.checkComplete(res)
 	}
 	if err != nil {
 		return a.handleReadError(err)
 	}
-	if len(body) == maxBufferedResponse {
+	if !whole {
 		return a.forwardLongBody(res, body)
 	}
 	response := &bufferedResponse{status: res.Status, header: res.Header, body: body}
@@ -300,6 +304,26 @@
 	return a.retryOrFail(true, fault.New(fault.BackendFailed, "backend server %s answered %d", a.assigned.Server.ID, res.Status))
 }
 
+// readBuffered reads a body while it is short enough to be buffered, and there is
+// memory for it. It reports whether that is the whole body.
+func readBuffered(r io.Reader, reserved *reservation) (body []byte, whole bool, err error) {
+	for body = make([]byte, 0, readBytes); ; {
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case err == io.EOF:
+			return body, true, nil
+		case err != nil:
+			return body, false, err
+		case len(body) < cap(body):
+			continue
+		case len(body) >= maxBufferedResponse || !reserved.resize(2*cap(body)):
+			return body, false, nil
+		}
+		body = slices.Grow(body, len(body))
+	}
+}
+
 // recordFirstAnswer reports the time to an answer that is not a stream of events.
 func (a *attempt) recordFirstAnswer() {
 	now := time.Now()
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -32,6 +32,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -77,6 +78,10 @@
 	LastQuorumContact func() time.Time
 	// MaxBufferedBodyBytes bounds the total bytes of buffered request bodies.
 	MaxBufferedBodyBytes int64
+	// MaxBufferedAnswerBytes bounds the total bytes of answers that are buffered, but
+	// for a few of each answer. An answer that does not fit is forwarded while it is
+	// read, and a larger event breaks its stream. 0 sets no limit.
+	MaxBufferedAnswerBytes int64
 	// SuccessSample is the number of successful calls for each log line; 0 means
 	// DefaultSuccessSample.
 	SuccessSample int
@@ -89,6 +94,7 @@
 	client  *backend.Client
 	metrics *metrics
 	bodies  byteBudget
+	answers byteBudget
 	guard   *quarantine.Guard
 
 	mu        sync.Mutex
@@ -121,9 +127,13 @@
 	if cfg.SuccessSample == 0 {
 		cfg.SuccessSample = DefaultSuccessSample
 	}
+	if cfg.MaxBufferedAnswerBytes == 0 {
+		cfg.MaxBufferedAnswerBytes = math.MaxInt64
+	}
 	g := &Gateway{
 		cfg: cfg, log: log, client: backend.New(cfg.HeaderNames), metrics: newMetrics(scope),
 		bodies:    byteBudget{limit: cfg.MaxBufferedBodyBytes},
+		answers:   byteBudget{limit: cfg.MaxBufferedAnswerBytes},
 		guard:     quarantine.NewGuard(),
 		pool:      pool.New(cfg.Pool),
 		firstView: make(chan struct{}),
@@ -338,26 +348,3 @@
 	defer g.mu.Unlock()
 	return g.random.Float64()
 }
-
-// byteBudget bounds the bytes reserved at the same time.
-type byteBudget struct {
-	mu    sync.Mutex
-	used  int64
-	limit int64
-}
-
-func (b *byteBudget) reserve(n int64) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.used+n > b.limit {
-		return false
-	}
-	b.used += n
-	return true
-}
-
-func (b *byteBudget) release(n int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.used -= n
-}
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -19,7 +19,9 @@
 	// readBytes is the size of one read from a stream.
 	readBytes = 4 << 10
 	// maxEventBytes bounds one event, which is buffered until it is complete.
+	// ownEventBytes of them need no share of the memory for answers.
 	maxEventBytes = 1 << 20
+	ownEventBytes = 16 << 10
 	// eventStream is the media type of a stream of events.
 	eventStream = "text/event-stream"
 )
@@ -49,6 +51,8 @@
 	mayBeComplete := c.stream.mayBeComplete
 	c.stream.mayBeComplete = false
 	var pending []byte
+	reserved := reservation{budget: &c.gateway.answers, own: ownEventBytes}
+	defer reserved.release()
 	buffer := make([]byte, readBytes)
 	for {
 		n, readErr := res.Body.Read(buffer)
@@ -62,9 +66,14 @@
 				return a.handleWriteError(err)
 			}
 			pending = append(pending[:0], pending[complete:]...)
+			if cap(pending) > ownEventBytes && len(pending) == 0 {
+				pending = nil
+			}
 		}
 		if len(pending) > maxEventBytes {
 			readErr = errors.Newf("event larger than %d bytes", maxEventBytes)
+		} else if !reserved.resize(cap(pending)) {
+			readErr = errors.Newf("no memory for an event larger than %d bytes", len(pending))
 		}
 		switch {
 		case readErr == io.EOF && len(pending) > 0:
--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -25,6 +25,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -61,9 +62,15 @@
 	maxSkippedResponses = 2
 	// maxSkippedBytes bounds the body of a response that is skipped.
 	maxSkippedBytes = 1 << 20
-	// maxHeadBytes bounds what is read before the body of a response. A backend
-	// server in trouble may send a head without end, or one head after another.
-	maxHeadBytes    = maxSkippedResponses*maxSkippedBytes + 256<<10
+	// maxHeadBytes and maxHeadLines bound the head of a response, and maxHeads the
+	// heads before its body, which a backend server in trouble may send without end.
+	// Each line takes many times its bytes once it is parsed.
+	maxHeadBytes = 64 << 10
+	maxHeadLines = 1000
+	maxHeads     = 16
+	// headReadBytes is the most that is read at once within a head, so that few lines
+	// are parsed before they are counted.
+	headReadBytes   = 512
 	readBufferSize  = 4 << 10
 	writeBufferSize = 4 << 10
 )
@@ -236,34 +243,39 @@
 	}, nil
 }
 
-// errHeadTooLarge says that no complete head was received within maxHeadBytes.
-var errHeadTooLarge = errors.Newf("the head of the response has more than %d bytes", maxHeadBytes)
+// errHeadTooLarge says that no complete head was received within its bounds.
+var errHeadTooLarge = errors.Newf("the head of the response has more than %d bytes or %d lines", maxHeadBytes, maxHeadLines)
 
 // headLimiter bounds what is read while it is active.
 type headLimiter struct {
 	io.Reader
-	active bool
-	left   int
+	active       bool
+	bytes, lines int // left
 }
 
+// begin begins a head.
+func (l *headLimiter) begin() { l.active, l.bytes, l.lines = true, maxHeadBytes, maxHeadLines }
+
 func (l *headLimiter) Read(p []byte) (int, error) {
 	if !l.active {
 		return l.Reader.Read(p)
 	}
-	if l.left <= 0 {
+	if l.bytes <= 0 || l.lines <= 0 {
 		return 0, errHeadTooLarge
 	}
-	n, err := l.Reader.Read(p[:min(len(p), l.left)])
-	l.left -= n
+	n, err := l.Reader.Read(p[:min(len(p), headReadBytes)])
+	l.bytes -= n
+	l.lines -= bytes.Count(p[:n], []byte{'\n'})
 	return n, err
 }
 
 // readResponse reads the response to req and skips responses to other requests.
 func (c *Client) readResponse(cn *conn, req *Request) (*http.Response, error) {
-	cn.head.active, cn.head.left = true, maxHeadBytes
-	defer func() { cn.head.active = false }()
-	for skipped := 0; ; skipped++ {
+	skipped := 0
+	for range maxHeads {
+		cn.head.begin()
 		res, err := http.ReadResponse(cn.reader, &http.Request{Method: req.Method})
+		cn.head.active = false
 		if err != nil {
 			return nil, errors.Wrap(err, "response cannot be read")
 		}
@@ -280,7 +292,9 @@
 		if _, err := io.Copy(io.Discard, res.Body); err != nil {
 			return nil, errors.Wrap(err, "response to another request ended early")
 		}
+		skipped++
 	}
+	return nil, errors.Newf("more than %d responses precede the answer", maxHeads)
 }
 
 // Close keeps the connection for reuse if the complete response was read, and
--- a/internal/transport/client/client.go
+++ b/internal/transport/client/client.go
@@ -26,14 +26,17 @@
 	// maxIdle bounds the idle connections kept per remote process.
 	maxIdle     = 8
 	idleTimeout = time.Minute
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
 )
 
 // NewTransport returns a transport that keeps a few idle connections per remote
 // process.
 func NewTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}).DialContext,
-		MaxIdleConnsPerHost: maxIdle,
-		IdleConnTimeout:     idleTimeout,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}).DialContext,
+		MaxIdleConnsPerHost:    maxIdle,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
