standin, gateway: answers cut after each byte

The users' report: clients got a 200 with an empty or short body, framed as whole, when a runner stopped in the middle of its answer's head.

--- /dev/null
+++ b/internal/coordination/gateway/cut_test.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"oleanderrack.example/oleanderrack/internal/coordination/follower"
+)
+
+// TestServerEndsAfterEachByte guards against an answer that looks whole although its
+// backend server has ended in the middle of it.
+func TestServerEndsAfterEachByte(t *testing.T) {
+	const stream = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"
+	tests := map[string]struct {
+		path, body string
+		rest       script // of the backend server that is asked next
+	}{
+		"order":        {"/once/1", "done", ok},
+		"idempotent":   {"/again/1", "done", ok},
+		"resumable":    {"/stream/1", stream, func(c net.Conn, r *http.Request) bool { return events(c, r, 3, true, "") }},
+		"fixed stream": {"/fixed/1", stream, func(c net.Conn, r *http.Request) bool { return events(c, r, 3, true, "") }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newTestGateway(t)
+			answer := "HTTP/1.1 200 OK\r\n" + signed + "X-Request-Id: r1\r\n\r\n" + test.body
+			second := newFakeServer(t, test.rest)
+			for n := range len(answer) {
+				var first *fakeServer
+				first = newFakeServer(t, func(conn net.Conn, _ *http.Request) bool {
+					fmt.Fprint(conn, answer[:n])
+					first.end()
+					return false
+				})
+				s.replaceServers(first)
+				v := *s.gateway.view
+				v.Servers = append(v.Servers[:1:1], follower.Server{ID: "second", StartedMS: 1, Service: "pool", Address: second.address, Slots: 8})
+				s.gateway.Update(&v)
+				var status int
+				var body string
+				// The choice between equal servers is random; the first one must be asked.
+				for len(first.requests()) == 0 {
+					status, body, _ = s.send(t, "POST", test.path, "")
+				}
+				if status == http.StatusOK && body != test.body && !strings.HasSuffix(body, "BROKEN") {
+					t.Errorf("cut after %d bytes: a whole answer %q", n, body)
+				}
+			}
+		})
+	}
+}
