gateway: a draining entry takes what may be repeated by the mean; no health check without a path

By the longest recent request, one stream that took its whole deadline in the last minute would turn away all streams of a stop, which can be resumed elsewhere. Services without a health check: the witness's open connection is enough, as an empty path is no request.

--- a/internal/coordination/gateway/drain.go
+++ b/internal/coordination/gateway/drain.go
@@ -8,22 +8,26 @@
 )
 
 const (
-	// durationWindow is how long the longest requests of a service are remembered, at
+	// durationWindow is how long the longest requests of a route are remembered, at
 	// least.
 	durationWindow = time.Minute
-	// durationMargin is the multiple of the longest recent request for which there must
-	// be time.
-	durationMargin = 1.25
+	// longestMargin is the multiple of the longest recent request, and meanMargin that
+	// of the mean one, for which there must be time.
+	longestMargin = 1.25
+	meanMargin    = 2
+	// meanWeight is the weight of a new request in the mean.
+	meanWeight = 0.1
 	// drainRetryAfter sends a caller to another entry at once.
 	drainRetryAfter = time.Millisecond
 	// lastAnswerTime is left for writing answers when serving ends.
 	lastAnswerTime = 100 * time.Millisecond
 )
 
-// durations knows the longest recent requests of a service. The zero value knows none.
+// durations are those of the recent requests of a route. The zero value knows none.
 type durations struct {
 	begun           time.Time // of the current window
 	longest, before time.Duration
+	mean            time.Duration
 }
 
 // add records the time from a request's arrival to its complete answer.
@@ -32,20 +36,26 @@
 		d.begun, d.before, d.longest = now, d.longest, 0
 	}
 	d.longest = max(d.longest, length)
+	if d.mean == 0 {
+		d.mean = length
+	}
+	d.mean += time.Duration(meanWeight * float64(length-d.mean))
 }
 
-// fits decides whether a draining entry takes a request: it must end within left. What
-// must not be repeated has until its deadline, if it is not known how long requests take.
+// fits decides whether a draining entry takes a request, which should end within left.
+// What may be repeated is taken if it will probably fit: its caller can resume or repeat
+// it elsewhere. What must not has to fit as long as the longest ones take, or until its
+// deadline if none is known.
 func (d *durations) fits(left, untilDeadline time.Duration, mayRepeat bool) bool {
 	longest := max(d.longest, d.before)
-	if longest == 0 && mayRepeat {
-		return left > 0
-	}
 	need := untilDeadline
-	if longest > 0 {
-		need = min(need, time.Duration(durationMargin*float64(longest)))
+	switch {
+	case mayRepeat:
+		need = min(need, meanMargin*d.mean)
+	case longest > 0:
+		need = min(need, time.Duration(longestMargin*float64(longest)))
 	}
-	return need <= left
+	return left > 0 && need <= left
 }
 
 // Drain announces that the process ends at a time. Requests that may not fit are
@@ -72,8 +82,8 @@
 	if known.fits(left, untilDeadline, c.mayRepeat()) {
 		return nil
 	}
-	return fault.New(fault.Draining, "this entry ends in %d ms, requests of route %s have taken up to %d ms, deadline in %d ms",
-		left.Milliseconds(), c.route.Name, max(known.longest, known.before).Milliseconds(), untilDeadline.Milliseconds()).WithRetryAfter(drainRetryAfter)
+	return fault.New(fault.Draining, "this entry ends in %d ms, requests of route %s have taken %d ms, %d ms at most, deadline in %d ms",
+		left.Milliseconds(), c.route.Name, known.mean.Milliseconds(), max(known.longest, known.before).Milliseconds(), untilDeadline.Milliseconds()).WithRetryAfter(drainRetryAfter)
 }
 
 // recordDuration records how long a complete answer took.
--- a/internal/coordination/gateway/drain_test.go
+++ b/internal/coordination/gateway/drain_test.go
@@ -25,6 +25,8 @@
 		"nothing left":                 {nil, 0, 0, 3 * time.Second, true, false},
 		"short ones":                   {[]time.Duration{time.Second, time.Millisecond}, 0, 2 * time.Second, 8 * time.Second, false, true},
 		"long ones":                    {[]time.Duration{time.Second, 1700 * time.Millisecond}, 0, 2 * time.Second, 8 * time.Second, false, false},
+		"a long one, repeatable":       {[]time.Duration{time.Second, time.Second, 5 * time.Second}, 0, 3 * time.Second, 8 * time.Second, true, true},
+		"a long one":                   {[]time.Duration{time.Second, time.Second, 5 * time.Second}, 0, 3 * time.Second, 8 * time.Second, false, false},
 		"long ones, repeatable":        {[]time.Duration{1700 * time.Millisecond}, 0, 2 * time.Second, 8 * time.Second, true, false},
 		"long ones, deadline in time":  {[]time.Duration{5 * time.Second}, 0, 2 * time.Second, 2 * time.Second, false, true},
 		"long ones in the last window": {[]time.Duration{5 * time.Second}, durationWindow + time.Second, 2 * time.Second, 8 * time.Second, false, false},
--- a/internal/coordination/gateway/ending.go
+++ b/internal/coordination/gateway/ending.go
@@ -123,10 +123,10 @@
 }
 
 // consult asks a witness. A backend server that wants no requests gets no health check
-// either; its open connection has to be enough.
+// either; its open connection has to be enough, as it is without a health check.
 func (a *attempt) consult(w *backend.Witness, timeout time.Duration, healthCheck string) (backend.Presence, backend.HealthAnswer) {
 	g, server := a.call.gateway, a.assigned.Server
-	if g.isClosed(server) {
+	if healthCheck == "" || g.isClosed(server) {
 		return w.CheckConnection(a.ctx), backend.HealthAnswer{}
 	}
 	presence, health := w.Check(a.ctx, timeout, healthCheck, server.ID)
--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -70,7 +70,7 @@
 	maxHeads     = 16
 	// headReadBytes is the most that is read at once within a head, so that few lines
 	// are parsed before they are counted.
-	headReadBytes   = 512
+	headReadBytes   = 2 << 10
 	readBufferSize  = 4 << 10
 	writeBufferSize = 4 << 10
 )
