backend: a witness that is reset beside the end of an answer tells nothing

Cause: the link cut the stream and reset the witness. That counted as of no use, and the next witness found the incarnation serving, as it did.

Evidence: rows "reset at the end" and "reset by the request" of TestWitness.

--- a/internal/protocol/backend/witness.go
+++ b/internal/protocol/backend/witness.go
@@ -34,7 +34,7 @@
 const (
 	// Unknown: it has not answered in time.
 	Unknown Presence = iota // unknown
-	// Lost: the connection was of no use, since it was reset.
+	// Lost: the connection was of no use, since it was reset long before the end.
 	Lost // lost
 	// Serving: the process that sent the answer has answered after its end.
 	Serving // serving
@@ -56,9 +56,9 @@
 	current *witnessConn // nil if none could be opened
 	dialErr error
 	// ended is set once a connection has ended that was too young for an idle timeout,
-	// and lastEnd is when the last one ended.
-	ended   bool
-	lastEnd time.Time
+	// reset once one was reset, and lastEnd is when the last one ended.
+	ended, reset bool
+	lastEnd      time.Time
 }
 
 // witnessConn is one connection of a witness.
@@ -109,10 +109,14 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	defer close(cn.readable)
-	if !errors.Is(cn.readErr, io.EOF) || ctx.Err() != nil {
-		return false // the answer to the health check, a reset, or Close
+	if cn.readErr == nil || ctx.Err() != nil {
+		return false // the answer to the health check, or Close
 	}
-	w.lastEnd, w.ended = ended, w.ended || ended.Sub(opened) < minIdleTimeout
+	if w.lastEnd = ended; !errors.Is(cn.readErr, io.EOF) {
+		w.reset = true
+		return false
+	}
+	w.ended = w.ended || ended.Sub(opened) < minIdleTimeout
 	return !w.ended
 }
 
@@ -155,12 +159,14 @@
 		return Unknown, nil
 	}
 	w.mu.Lock()
-	cn, dialErr, ended := w.current, w.dialErr, w.ended || end.Sub(w.lastEnd) < maxBacklogTime
+	cn, dialErr, ended, reset, late := w.current, w.dialErr, w.ended, w.reset, end.Sub(w.lastEnd) < maxBacklogTime
 	w.mu.Unlock()
 	switch {
-	case ended || errors.Is(dialErr, syscall.ECONNREFUSED):
+	case errors.Is(dialErr, syscall.ECONNREFUSED), ended, late && !reset:
 		return Ended, nil
-	case cn == nil:
+	case reset && !late:
+		return Lost, nil
+	case reset, cn == nil:
 		return Unknown, nil
 	}
 	select {
@@ -168,7 +174,7 @@
 		if errors.Is(cn.readErr, io.EOF) {
 			return Ended, nil
 		}
-		return Lost, nil
+		return Unknown, nil
 	case <-time.After(settleTime):
 		return Serving, cn
 	case <-ctx.Done():
@@ -184,7 +190,7 @@
 		Header: http.Header{http.CanonicalHeaderKey(headers.ExpectedIncarnation): {incarnation}},
 	}
 	if err := req.write(cn); err != nil {
-		return Lost, HealthAnswer{}
+		return Unknown, HealthAnswer{}
 	}
 	select {
 	case <-cn.readable:
@@ -195,10 +201,7 @@
 	cn.SetReadDeadline(deadline)
 	http1, err := w.client.readResponse(cn.conn, req)
 	if err != nil {
-		if isTimeout(err) {
-			return Unknown, HealthAnswer{}
-		}
-		return Lost, HealthAnswer{}
+		return Unknown, HealthAnswer{}
 	}
 	w.reuse(cn, http1)
 	answer := HealthAnswer{Status: http1.StatusCode, Header: http1.Header}
