--- a/internal/coordination/gateway/call.go
+++ b/internal/coordination/gateway/call.go
@@ -98,7 +98,7 @@
 	}
 	// The deadline also bounds writes: a caller that does not read holds memory.
 	http.NewResponseController(c.writer).SetWriteDeadline(c.deadline.Add(writeTimeoutGrace))
-	serving, stopServing := c.gateway.withoutLateEnd(c.request.Context())
+	serving, stopServing := c.gateway.whileServing(c.request.Context())
 	defer stopServing()
 	ctx, cancel := context.WithDeadline(serving, c.deadline)
 	defer cancel()
--- a/internal/coordination/gateway/drain.go
+++ b/internal/coordination/gateway/drain.go
@@ -115,8 +115,8 @@
 	}
 }
 
-// withoutLateEnd returns a context that also ends when serving ends.
-func (g *Gateway) withoutLateEnd(ctx context.Context) (context.Context, context.CancelFunc) {
+// whileServing returns a context that also ends when serving ends.
+func (g *Gateway) whileServing(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	stop := context.AfterFunc(g.serving, cancel)
 	return ctx, func() { stop(); cancel() }
--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -11,6 +11,9 @@
 for having been closed and for unsolicited bytes. A response with another
 request's id is skipped, since a faulty backend server may answer twice.
 
+An answer may have neither a length nor chunks, so that a crash of its backend server
+looks like its end. A [Witness] tells whether the backend server has outlived it.
+
 The names of headers are set by [HeaderNames], so that backend servers with other
 names are supported.
 
--- a/internal/protocol/backend/witness.go
+++ b/internal/protocol/backend/witness.go
@@ -32,7 +32,7 @@
 type Presence uint8
 
 const (
-	// Unknown: it has not answered in time.
+	// Unknown: there was no answer in time, or a reset beside the end of the answer.
 	Unknown Presence = iota // unknown
 	// Lost: the connection was of no use, since it was reset long before the end.
 	Lost // lost
