gateway: TestServerEndsAfterEachByte asks the backend server that ends first

Cause: the test sent requests until the backend server that ends was chosen.

Change: the other backend server appears once the first one has been asked. Each byte is now certain to be played, and the request must reach the backend server.

--- a/internal/coordination/gateway/cut_test.go
+++ b/internal/coordination/gateway/cut_test.go
@@ -32,19 +32,20 @@
 			for n := range len(answer) {
 				var first *fakeServer
 				first = newFakeServer(t, func(conn net.Conn, _ *http.Request) bool {
+					// The other backend server appears now, so that this one is asked first.
+					s.gateway.mu.Lock()
+					v := *s.gateway.view
+					s.gateway.mu.Unlock()
+					v.Servers = append(v.Servers[:1:1], follower.Server{ID: "second", StartedMS: 1, Service: "pool", Address: second.address, Slots: 8})
+					s.gateway.Update(&v)
 					fmt.Fprint(conn, answer[:n])
 					first.end()
 					return false
 				})
 				s.replaceServers(first)
-				v := *s.gateway.view
-				v.Servers = append(v.Servers[:1:1], follower.Server{ID: "second", StartedMS: 1, Service: "pool", Address: second.address, Slots: 8})
-				s.gateway.Update(&v)
-				var status int
-				var body string
-				// The choice between equal servers is random; the first one must be asked.
-				for len(first.requests()) == 0 {
-					status, body, _ = s.send(t, "POST", test.path, "")
+				status, body, _ := s.send(t, "POST", test.path, "")
+				if len(first.requests()) == 0 {
+					t.Errorf("cut after %d bytes: the request did not reach the backend server", n)
 				}
 				if status == http.StatusOK && body != test.body && !strings.HasSuffix(body, "BROKEN") {
 					t.Errorf("cut after %d bytes: a whole answer %q", n, body)
