backend, gateway: the decisions on an end are pure, with the time passed in

Cause: Witness.settle read the clock and the state of its connections and decided on both, so that its rule had no test without a network. isComplete had none of its own.

Change: evidence records what connections showed, and its presence(now) decides. Constants say why. No change of behaviour is meant.

Ruled out: nothing.

Measured: TestWitness, TestEndsWithConnection and the other tests of both packages pass.

--- a/internal/coordination/gateway/drain.go
+++ b/internal/coordination/gateway/drain.go
@@ -11,8 +11,9 @@
 	// durationWindow is how long the longest requests of a route are remembered, at
 	// least.
 	durationWindow = time.Minute
-	// longestMargin is the multiple of the longest recent request, and meanMargin that
-	// of the mean one, for which there must be time.
+	// longestMargin is the multiple of the longest recent request for which there must
+	// be time, since the next one may be longer still. meanMargin is that of the mean
+	// one, which most requests do not exceed.
 	longestMargin = 1.25
 	meanMargin    = 2
 	// meanWeight is the weight of a new request in the mean.
--- a/internal/coordination/gateway/ending.go
+++ b/internal/coordination/gateway/ending.go
@@ -76,8 +76,9 @@
 
 const (
 	// repeatableCheckTimeout bounds the wait for an answer of a witness if the request
-	// may be repeated. finalCheckTimeout does so if it may not: the caller then gets a
-	// broken answer.
+	// may be repeated, which costs little. finalCheckTimeout does so if it may not: the
+	// caller then gets a broken answer, so a busy backend server has time to answer.
+	// Callers leave a silent stream after two seconds or more.
 	repeatableCheckTimeout = 100 * time.Millisecond
 	finalCheckTimeout      = time.Second
 )
--- a/internal/coordination/gateway/ending_test.go
+++ b/internal/coordination/gateway/ending_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"oleanderrack.example/oleanderrack/internal/coordination/follower"
+	"oleanderrack.example/oleanderrack/internal/protocol/backend"
 )
 
 const promptHeader = "X-Prompt"
@@ -336,3 +337,31 @@
 		})
 	}
 }
+
+// TestIsComplete guards against an answer without a length that counts as complete
+// though its backend server may have ended in the middle of it.
+func TestIsComplete(t *testing.T) {
+	tests := map[string]struct {
+		presence            backend.Presence
+		leaving, repeatable bool
+		want                bool
+	}{
+		"serving":                    {backend.Serving, false, false, true},
+		"serving, repeatable":        {backend.Serving, false, true, true},
+		"serving and leaving":        {backend.Serving, true, true, true},
+		"ended":                      {backend.Ended, false, false, false},
+		"ended, repeatable":          {backend.Ended, false, true, false},
+		"left after its last answer": {backend.Ended, true, false, true},
+		"left, repeatable":           {backend.Ended, true, true, false},
+		"unknown":                    {backend.Unknown, false, false, false},
+		"unknown and leaving":        {backend.Unknown, true, false, false},
+		"lost and leaving":           {backend.Lost, true, false, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(test.want, isComplete(test.presence, test.leaving, test.repeatable)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -66,8 +66,8 @@
 	// maxSkippedBytes bounds the body of a response that is skipped.
 	maxSkippedBytes = 1 << 20
 	// maxHeadBytes and maxHeadLines bound the head of a response, and maxHeads the
-	// heads before its body, which a backend server in trouble may send without end.
-	// Each line takes many times its bytes once it is parsed.
+	// heads before its body, which a backend server in trouble may send without end. A
+	// short line takes many times its bytes once it is parsed.
 	maxHeadBytes = 64 << 10
 	maxHeadLines = 1000
 	maxHeads     = 16
--- a/internal/protocol/backend/witness.go
+++ b/internal/protocol/backend/witness.go
@@ -13,7 +13,7 @@
 
 const (
 	// settleTime is the time within which the connections of a process that ends are
-	// closed, one after the other.
+	// closed, one after the other: milliseconds, and more if its host is busy.
 	settleTime = 50 * time.Millisecond
 	// maxBacklogTime is how long after a process has ended the last bytes of its answer
 	// may still arrive: they wait behind others, or for the caller.
@@ -54,13 +54,42 @@
 
 	mu      sync.Mutex
 	current *witnessConn // nil if none could be opened
-	dialErr error
-	// ended is set once a connection has ended that was too young for an idle timeout,
-	// reset once one was reset, and lastEnd is when the last one ended.
+	seen    evidence
+}
+
+// evidence is what the connections of a witness have shown while the answer was sent.
+type evidence struct {
+	// refused says that the host has refused a connection, and unopened that none
+	// could be opened for that or another reason.
+	refused, unopened bool
+	// ended says that a connection has ended that was too young for an idle timeout,
+	// and reset that one was reset. lastEnd is when the last one ended either way.
 	ended, reset bool
 	lastEnd      time.Time
 }
 
+// closed records the end of a connection, by a reset or not.
+func (e *evidence) closed(opened, now time.Time, reset bool) {
+	e.lastEnd = now
+	e.reset = e.reset || reset
+	e.ended = e.ended || (!reset && now.Sub(opened) < minIdleTimeout)
+}
+
+// presence decides what the evidence says of a backend server whose answer ends now.
+// Serving means that nothing speaks against it so far.
+func (e *evidence) presence(now time.Time) Presence {
+	late := now.Sub(e.lastEnd) < maxBacklogTime
+	switch {
+	case e.refused, e.ended, late && !e.reset:
+		return Ended
+	case e.reset && !late:
+		return Lost
+	case e.reset, e.unopened:
+		return Unknown
+	}
+	return Serving
+}
+
 // witnessConn is one connection of a witness.
 type witnessConn struct {
 	*conn
@@ -93,7 +122,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err != nil {
-		w.current, w.dialErr = nil, err
+		w.current, w.seen.unopened, w.seen.refused = nil, true, errors.Is(err, syscall.ECONNREFUSED)
 		return nil
 	}
 	w.current = &witnessConn{conn: cn, readable: make(chan struct{}), stop: context.AfterFunc(ctx, func() { cn.Close() })}
@@ -112,12 +141,8 @@
 	if cn.readErr == nil || ctx.Err() != nil {
 		return false // the answer to the health check, or Close
 	}
-	if w.lastEnd = ended; !errors.Is(cn.readErr, io.EOF) {
-		w.reset = true
-		return false
-	}
-	w.ended = w.ended || ended.Sub(opened) < minIdleTimeout
-	return !w.ended
+	w.seen.closed(opened, ended, !errors.Is(cn.readErr, io.EOF))
+	return !w.seen.reset && !w.seen.ended
 }
 
 // Close closes the connection, unless Check has put it back for reuse.
@@ -159,15 +184,10 @@
 		return Unknown, nil
 	}
 	w.mu.Lock()
-	cn, dialErr, ended, reset, late := w.current, w.dialErr, w.ended, w.reset, end.Sub(w.lastEnd) < maxBacklogTime
+	cn, p := w.current, w.seen.presence(end)
 	w.mu.Unlock()
-	switch {
-	case errors.Is(dialErr, syscall.ECONNREFUSED), ended, late && !reset:
-		return Ended, nil
-	case reset && !late:
-		return Lost, nil
-	case reset, cn == nil:
-		return Unknown, nil
+	if p != Serving {
+		return p, nil
 	}
 	select {
 	case <-cn.readable:
--- a/internal/protocol/backend/witness_test.go
+++ b/internal/protocol/backend/witness_test.go
@@ -128,3 +128,44 @@
 		})
 	}
 }
+
+// TestEvidence guards against an end of the backend server that is taken for an idle
+// connection's, and the other way round.
+func TestEvidence(t *testing.T) {
+	start := time.Unix(1000, 0)
+	type end struct {
+		opened, at time.Duration
+		reset      bool
+	}
+	tests := map[string]struct {
+		seen evidence
+		ends []end
+		now  time.Duration // when the answer ends
+		want Presence
+	}{
+		"nothing":                 {evidence{}, nil, time.Second, Serving},
+		"refused":                 {evidence{refused: true, unopened: true}, nil, time.Second, Ended},
+		"none could be opened":    {evidence{unopened: true}, nil, time.Second, Unknown},
+		"young":                   {evidence{}, []end{{0, minIdleTimeout - 1, false}}, time.Minute, Ended},
+		"idle":                    {evidence{}, []end{{0, minIdleTimeout, false}}, time.Minute, Serving},
+		"idle, at the end":        {evidence{}, []end{{0, time.Minute, false}}, time.Minute + maxBacklogTime - 1, Ended},
+		"idle, just before":       {evidence{}, []end{{0, time.Minute, false}}, time.Minute + maxBacklogTime, Serving},
+		"idle, then young":        {evidence{}, []end{{0, 2 * time.Second, false}, {2 * time.Second, 2 * time.Second, false}}, time.Minute, Ended},
+		"idle, then refused":      {evidence{refused: true, unopened: true}, []end{{0, 2 * time.Second, false}}, time.Minute, Ended},
+		"idle, then unreachable":  {evidence{unopened: true}, []end{{0, 2 * time.Second, false}}, time.Minute, Unknown},
+		"reset long before":       {evidence{}, []end{{0, time.Second, true}}, time.Second + maxBacklogTime, Lost},
+		"reset at the end":        {evidence{}, []end{{0, time.Second, true}}, time.Second + maxBacklogTime - 1, Unknown},
+		"young end, reset later":  {evidence{}, []end{{0, 1, false}, {2, 3, true}}, time.Second, Ended},
+		"idle end, reset, at end": {evidence{}, []end{{0, time.Second, false}, {time.Second, time.Second, true}}, time.Second, Unknown},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			for _, e := range test.ends {
+				test.seen.closed(start.Add(e.opened), start.Add(e.at), e.reset)
+			}
+			if diff := cmp.Diff(test.want, test.seen.presence(start.Add(test.now))); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
