registrar, platform: report usage by a single holder

The platform expects one report of the requests of each client account per window. The leader of the registrars takes the duty through the log, closes a window with the counts that entries send with Follow, commits them, and sends them under a lease.

--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -73,6 +73,8 @@
 	// Observations returns what the entry has observed after a sequence number, and
 	// the highest number; see quarantine.Guard.
 	Observations func(after uint64) ([]quarantine.Observation, uint64)
+	// Usage is set where requests are counted for usage reports.
+	Usage *UsageConfig
 	// OnChange is called with each new view, in order.
 	OnChange func(*View)
 }
@@ -226,10 +228,12 @@
 	req := &peer.FollowRequest{Node: f.cfg.Node}
 	backoff := minBackoff
 	reported := uint64(0) // sequence number of the last observation that the registrar has
+	counted := uint64(0)  // that of the last change of counts
 	for ctx.Err() == nil {
 		f.setVersions(req)
 		last := f.setEvidence(address, req, reported)
 		f.setLoadExchange(address, req)
+		lastCounted := f.cfg.Usage.set(req, counted)
 		callCtx, cancel := context.WithTimeout(ctx, followWait+callTimeout)
 		begin := time.Now()
 		res, err := client.Follow(callCtx, req)
@@ -244,11 +248,12 @@
 			continue
 		}
 		backoff = minBackoff
-		reported = last
+		reported, counted = last, lastCounted
 		if req.Epoch != 0 && res.Epoch != req.Epoch {
 			// It has started again and has lost what was reported before.
-			reported = 0
+			reported, counted = 0, 0
 		}
+		f.cfg.Usage.observe(address, res.ClockMs)
 		req.Epoch, req.Since = res.Epoch, res.Version
 		f.merge(address, r, res, begin, !req.WithoutLoads)
 	}
--- a/internal/coordination/gateway/body.go
+++ b/internal/coordination/gateway/body.go
@@ -47,6 +47,7 @@
 		a.finish(pool.Failed, strconv.Itoa(res.Status)+" without a guarantee that the request has not run")
 		return a.retryOrFail(true, fault.New(fault.BackendFailed, "backend server %s answered %d", a.assigned.Server.ID, res.Status))
 	}
+	c.countRun()
 	reserved := reservation{budget: &c.gateway.answers, own: ownResponseBytes}
 	defer reserved.release()
 	body, whole, err := readBuffered(res.Body, &reserved)
--- a/internal/coordination/gateway/call.go
+++ b/internal/coordination/gateway/call.go
@@ -50,6 +50,7 @@
 	attemptFailed bool
 	sends         int
 	possibleRuns  int // attempts that may have run
+	counted       bool
 	rejections    int
 	waited        time.Duration
 	timeToFirst   time.Duration
@@ -110,6 +111,16 @@
 	}
 }
 
+// countRun counts the request for usage reports when it begins to run: at its first
+// event, or at its response headers. One that is resumed or repeated counts once.
+func (c *call) countRun() {
+	if c.counted || c.account == nil || c.gateway.cfg.CountRun == nil {
+		return
+	}
+	c.counted = true
+	c.gateway.cfg.CountRun(c.account.Name)
+}
+
 // errQuarantined is the cause with which requests are cancelled that have a
 // quarantined part.
 var errQuarantined = errors.New("a part of the prompt is quarantined")
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -85,6 +85,9 @@
 	// SuccessSample is the number of successful calls for each log line; 0 means
 	// DefaultSuccessSample.
 	SuccessSample int
+	// CountRun is called once for each request of a client account when it begins to
+	// run, with the account's name; nil if requests are not counted.
+	CountRun func(account string)
 }
 
 // Gateway is the HTTP handler of an entry. Use New.
--- a/internal/coordination/gateway/stream.go
+++ b/internal/coordination/gateway/stream.go
@@ -115,6 +115,7 @@
 	if err != nil {
 		return err
 	}
+	c.countRun()
 	if len(events) == 0 {
 		return nil
 	}
--- a/internal/coordination/registrar/follow.go
+++ b/internal/coordination/registrar/follow.go
@@ -33,6 +33,7 @@
 	defer timer.Stop()
 	r.recordFollower(req)
 	r.recordEvidence(req)
+	r.counts.record(req)
 	for {
 		res, wake := r.responseIfChanged(req)
 		if res != nil {
@@ -114,6 +115,7 @@
 		// Within an election timeout of losing the majority, a leader steps down
 		// and a follower clears its leader.
 		HasQuorum: r.supervisor.status().Leader != 0 || time.Since(r.quorumAt) < quorumMaxAge,
+		ClockMs:   r.counts.clockMS(),
 	}
 	if req.GetNode().GetRole() == peer.Role_ROLE_ENTRY && !req.WithoutLoads {
 		res.Loads = r.peerLoads(req.Node.Id)
@@ -241,6 +243,7 @@
 			r.log.Info("registrar is reachable", "address", address)
 			connected = true
 		}
+		r.counts.observe(address, res.ClockMs)
 		req.Epoch, req.Since = res.Epoch, res.Version
 		r.apply("registrar", res.Announcements...)
 		r.recordResponse(res)
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -90,6 +90,8 @@
 	// Services returns the names of the services that a catalog lists. Backend
 	// servers of others are not passed on.
 	Services func(catalog []byte) ([]string, error)
+	// Usage is set where the usage of client accounts is reported.
+	Usage *UsageConfig
 }
 
 // Registrar is one registrar of a deployment. Its methods are safe for
@@ -109,6 +111,8 @@
 	catalogReceived chan struct{}
 	// evidenceAdded holds an element while evidence has not been checked.
 	evidenceAdded chan struct{}
+	// counts is nil unless usage is reported.
+	counts *counts
 
 	mu      sync.Mutex
 	table   *directory.Table
@@ -174,6 +178,9 @@
 		founders:  map[string]bool{},
 		followers: map[string]time.Time{},
 	}
+	if cfg.Usage != nil {
+		r.counts = newCounts(cfg.Usage.Windows)
+	}
 	r.supervisor = newSupervisor(cfg, log.Named("core"), scope, r.client, r.onCommit)
 	if cfg.Folder != "" {
 		go func() {
@@ -182,6 +189,9 @@
 		go r.maintainMembership(ctx)
 		go r.maintainQuarantine(ctx)
 	}
+	if cfg.Usage != nil {
+		go r.reportUsage(ctx)
+	}
 	go r.expire(ctx)
 	go r.publishCatalogs(ctx)
 	go r.followPeers(ctx)
--- a/internal/coordination/suspend/suspend.go
+++ b/internal/coordination/suspend/suspend.go
@@ -86,6 +86,18 @@
 	return d.length, d.length > 0 && now-d.ended < within
 }
 
+// LastEnd returns the reading of the clock at which the last interruption was
+// noticed, or a negative time if there was none.
+func (d *Detector) LastEnd() time.Duration {
+	d.tick()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.length == 0 {
+		return -1
+	}
+	return d.ended
+}
+
 func (d *Detector) tick() time.Duration {
 	now := d.clock()
 	d.mu.Lock()
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -6,8 +6,9 @@
 Every replica applies the same commands in the same order and so reaches the
 same state. The state holds the intent with its revision, the results of
 operation ids, the ledger of idempotency keys, the fencing numbers, the catalog,
-the drained failure domains, the quarantined parts of prompts, and the decisions on
-expert maps. [Registry.Apply] is deterministic: it reads no clock,
+the drained failure domains, the quarantined parts of prompts, the holder of the
+duty of usage reports with the counts of open reports, and the decisions on expert
+maps. [Registry.Apply] is deterministic: it reads no clock,
 uses no random numbers and depends only on the state and the command. Its
 results never depend on parsing an intent, since two versions of the program
 could then disagree; the leader checks an intent before it proposes it.
@@ -74,6 +75,8 @@
 
 	quarantineIndex uint64
 	quarantine      []*QuarantineRecord // sorted by part; records are not modified
+
+	duty *DutyRecord // replaced by each change; nil if the duty was never granted
 }
 
 // New returns an empty state at revision 0. Its intent lists no failure domain,
@@ -146,6 +149,16 @@
 		return r.drain(index, body.DrainDomain)
 	case *Command_Quarantine:
 		return r.changeQuarantine(index, c.NowMs, body.Quarantine)
+	case *Command_DutyGrant:
+		return r.grantDuty(index, body.DutyGrant)
+	case *Command_DutyRenewal:
+		return r.renewDuty(index, body.DutyRenewal)
+	case *Command_UsageClose:
+		return r.closeUsage(index, body.UsageClose)
+	case *Command_UsageSettle:
+		return r.settleUsage(body.UsageSettle)
+	case *Command_UsageAbandon:
+		return r.abandonUsage(body.UsageAbandon)
 	}
 	return failedResult(fault.New(fault.BadRequest, "command is empty or of an unknown type"))
 }
--- a/internal/state/registry/snapshot.go
+++ b/internal/state/registry/snapshot.go
@@ -35,6 +35,8 @@
 
 		QuarantineIndex: r.quarantineIndex,
 		Quarantine:      r.quarantine,
+
+		Duty: r.duty,
 	}
 	for _, target := range slices.Sorted(maps.Keys(r.fencing)) {
 		s.Fencing = append(s.Fencing, &FencingNumber{Target: target, Number: r.fencing[target]})
@@ -65,6 +67,7 @@
 	r.catalog, r.drained = next.catalog, next.drained
 	r.drainChanges, r.restoredDrainIndex = map[string]uint64{}, next.drained.Index
 	r.quarantineIndex, r.quarantine = next.quarantineIndex, next.quarantine
+	r.duty = next.duty
 	return nil
 }
 
@@ -77,6 +80,7 @@
 	r.catalog = Catalog{Version: s.CatalogVersion, Data: s.Catalog}
 	r.drained = DrainedDomains{Index: s.DrainIndex, FailureDomains: s.Drained}
 	r.quarantineIndex, r.quarantine = s.QuarantineIndex, s.Quarantine
+	r.duty = s.Duty
 	if r.revision > 0 {
 		last := len(s.History) - 1
 		if last < 0 || s.History[last].Revision != s.Revision {
