registrar, usage: fetch counts again while an entry is known from others only

A window stayed open until its bound when an entry that cannot reach the leader was in it at the first fetch: its progress was not asked for again. The test of a change of the leader waited 12 s for it.

--- a/internal/coordination/registrar/duty.go
+++ b/internal/coordination/registrar/duty.go
@@ -223,8 +223,11 @@
 func (p *reporter) mayClose(ctx context.Context, now time.Time, window uint64) bool {
 	steady := suspend.Clock()
 	isBound := !now.Before(p.cfg.Windows.CloseBound(window))
-	last, known := p.fetched[window]
-	if !isBound && (!p.counts.isComplete(window) || known && steady-last < fetchInterval) {
+	last, fetched := p.fetched[window]
+	// Entries call this registrar too, most of the time. Those that cannot reach it are
+	// known from the others only.
+	isEarly := now.Before(p.cfg.Windows.End(window).Add(fetchInterval)) && p.counts.waits(window)
+	if !isBound && (isEarly || fetched && steady-last < fetchInterval) {
 		return false
 	}
 	p.fetched[window] = steady
--- a/internal/coordination/registrar/registrar_test.go
+++ b/internal/coordination/registrar/registrar_test.go
@@ -33,6 +33,9 @@
 	nodes map[string]*node
 	// decodeTime is how long it takes to decode the services of a catalog.
 	decodeTime time.Duration
+	// usage returns the configuration of usage reports of a registrar; nil if there
+	// are none.
+	usage func(address string) *UsageConfig
 }
 
 type node struct {
@@ -42,7 +45,12 @@
 }
 
 func newGroup(t *testing.T, founders int) *group {
-	g := &group{t: t, nodes: map[string]*node{}}
+	return startGroup(&group{t: t, nodes: map[string]*node{}}, founders)
+}
+
+// startGroup starts the founders of a group.
+func startGroup(g *group, founders int) *group {
+	t := g.t
 	for range founders {
 		g.seeds = append(g.seeds, freeAddress(t))
 	}
@@ -64,7 +72,12 @@
 func (g *group) start(address, folder string, bootstrap bool) *node {
 	g.t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
+	var usageConfig *UsageConfig
+	if g.usage != nil {
+		usageConfig = g.usage(address)
+	}
 	r, err := New(ctx, Config{
+		Usage:   usageConfig,
 		Cluster: "test", Address: address, FailureDomain: "fes", Folder: folder,
 		Seeds: func() []string { return g.seeds }, Bootstrap: bootstrap, Voters: len(g.seeds),
 		Services: func([]byte) ([]string, error) {
--- a/internal/coordination/registrar/usage.go
+++ b/internal/coordination/registrar/usage.go
@@ -79,6 +79,12 @@
 	return c.table.Dropped()
 }
 
+func (c *counts) waits(window uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Waits(window)
+}
+
 func (c *counts) isComplete(window uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/coordination/usage/table.go
+++ b/internal/coordination/usage/table.go
@@ -92,13 +92,16 @@
 
 // IsComplete reports whether all entries are past a window. It is false while no
 // entry is known.
-func (t *Table) IsComplete(window uint64) bool {
+func (t *Table) IsComplete(window uint64) bool { return len(t.entries) > 0 && !t.Waits(window) }
+
+// Waits reports whether an entry that is known is not past a window.
+func (t *Table) Waits(window uint64) bool {
 	for _, p := range t.entries {
 		if p.window <= window {
-			return false
+			return true
 		}
 	}
-	return len(t.entries) > 0
+	return false
 }
 
 // Sum returns the counts of a window by client account.
