--- a/internal/coordination/duty/duty.go
+++ b/internal/coordination/duty/duty.go
@@ -63,11 +63,11 @@
 type Step interface{ isStep() }
 
 type (
-	// Grant: propose this host as the holder, if the record is still Expected.
+	// Grant proposes this host as the holder, if the record is still Expected.
 	Grant struct{ Expected Record }
-	// Wait: the lease of another host may be in force until the given time.
+	// Wait does nothing: the lease of another host may be in force until a time.
 	Wait struct{ Until time.Duration }
-	// Hold: this host is the holder.
+	// Hold keeps the duty, which this host has.
 	Hold struct{}
 )
 
--- a/internal/coordination/registrar/duty.go
+++ b/internal/coordination/registrar/duty.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"oleanderrack.example/oleanderrack/internal/coordination/duty"
 	"oleanderrack.example/oleanderrack/internal/coordination/replica"
 	"oleanderrack.example/oleanderrack/internal/coordination/suspend"
@@ -55,7 +57,8 @@
 	fetched  map[uint64]time.Duration // last fetch of the counts of open windows
 	// accepted holds the windows whose reports were accepted, until that is recorded.
 	accepted map[uint64]bool
-	holds    bool // for log lines
+	holds    bool          // for log lines
+	outcome  usage.Outcome // of the last attempt, for log lines
 	dropped  uint64
 }
 
@@ -273,8 +276,15 @@
 	if p.schedule.Record(p.counts.now(), window, outcome) {
 		p.scope.Counter("usage_unsure").Inc(1)
 	}
+	previous := p.outcome
+	p.outcome = outcome
 	if outcome != usage.Accepted {
-		p.log.Warn("usage report was not accepted", "window", window, "token", report.Token, "outcome", outcome.String(), "error", err)
+		// A platform that is down for long takes one line.
+		level := hclog.Warn
+		if outcome == previous {
+			level = hclog.Debug
+		}
+		p.log.Log(level, "usage report was not accepted", "window", window, "token", report.Token, "outcome", outcome.String(), "error", err)
 		return
 	}
 	p.scope.Counter("usage_reported").Inc(1)
