--- a/internal/coordination/duty/duty.go
+++ b/internal/coordination/duty/duty.go
@@ -104,6 +104,14 @@
 	}
 }
 
+// BeginLeading records that this host has become the leader of the log. Of a record that
+// is empty it may have missed renewals until then.
+func (h *Holder) BeginLeading(now time.Duration) {
+	if h.record.Token == 0 {
+		h.seen = now
+	}
+}
+
 // Record returns the record that was observed last.
 func (h *Holder) Record() Record { return h.record }
 
--- a/internal/coordination/duty/duty_test.go
+++ b/internal/coordination/duty/duty_test.go
@@ -45,6 +45,28 @@
 	}
 }
 
+// TestBeginLeading guards against a host that has lost the record and takes the duty at
+// once when it becomes the leader, and against one that has it and waits longer.
+func TestBeginLeading(t *testing.T) {
+	tests := map[string]struct {
+		record Record
+		want   Step
+	}{
+		"no record":       {Record{}, Wait{Until: 63060 * ms}},
+		"another's lease": {Record{Host: "b", Token: 7, Renewal: 9}, Grant{Expected: Record{Host: "b", Token: 7, Renewal: 9}}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := New("a", terms)
+			h.Observe(0, test.record)
+			h.BeginLeading(60000 * ms)
+			if diff := cmp.Diff(test.want, h.Next(60100*ms, false)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
 // TestMayAct guards against an action that ends after the lease, that follows an
 // interruption, or that uses the lease of an earlier process or of another host.
 func TestMayAct(t *testing.T) {
--- a/internal/coordination/duty/model_test.go
+++ b/internal/coordination/duty/model_test.go
@@ -291,6 +291,7 @@
 		// It has all that was committed, but may not have applied it yet.
 		m.leader, h.believes, h.view = h, true, m.between(h.view, len(m.log)-1)
 		m.observe(h)
+		h.holder.BeginLeading(m.clock(h))
 	case action == "depose":
 		h.believes = false
 	case action == "follow" && m.random.IntN(2) == 0:
--- a/internal/coordination/registrar/duty.go
+++ b/internal/coordination/registrar/duty.go
@@ -57,6 +57,7 @@
 	fetched  map[uint64]time.Duration // last fetch of the counts of open windows
 	// accepted holds the windows whose reports were accepted, until that is recorded.
 	accepted map[uint64]bool
+	leads    bool
 	holds    bool          // for log lines
 	outcome  usage.Outcome // of the last attempt, for log lines
 	dropped  uint64
@@ -89,14 +90,19 @@
 	}
 	log, state, err := p.supervisor.get()
 	if err != nil {
+		p.leads = false
 		p.setHolds(false)
 		return
 	}
 	p.observe(state)
-	if !log.Status().IsLeader {
+	led := p.leads
+	if p.leads = log.Status().IsLeader; !p.leads {
 		p.setHolds(false)
 		return
 	}
+	if !led {
+		p.holder.BeginLeading(suspend.Clock())
+	}
 	switch next := p.holder.Next(suspend.Clock(), state.Catalog().Version == 0).(type) {
 	case duty.Grant:
 		p.setHolds(false)
@@ -138,8 +144,14 @@
 	}
 }
 
-// acquire proposes this host as the holder.
+// acquire proposes this host as the holder, once it has applied all that was committed
+// before: a leader that has just started may see no record yet.
 func (p *reporter) acquire(ctx context.Context, log *replica.Replica, state *registry.Registry, expected duty.Record) {
+	confirmCtx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	if _, err := log.ConfirmLeadership(confirmCtx); err != nil || dutyRecord(state) != expected {
+		return
+	}
 	first := p.cfg.Windows.At(p.counts.now())
 	if expected.Token == 0 && state.Catalog().Version > 0 {
 		// A record that was lost may have had reports of the current window.
--- a/internal/coordination/suspend/suspend_test.go
+++ b/internal/coordination/suspend/suspend_test.go
@@ -40,6 +40,24 @@
 	}
 }
 
+// TestLastEnd guards against an interruption whose end is not known to the first code
+// that runs after it.
+func TestLastEnd(t *testing.T) {
+	now := time.Hour
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel() // only LastEnd ticks
+	d := New(ctx, func() time.Duration { return now })
+	var got []time.Duration
+	for _, step := range []time.Duration{100 * time.Millisecond, 3 * time.Second, 200 * time.Millisecond, minLength} {
+		now += step
+		got = append(got, d.LastEnd())
+	}
+	want := []time.Duration{-1, time.Hour + 3100*time.Millisecond, time.Hour + 3100*time.Millisecond, time.Hour + 3300*time.Millisecond + minLength}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // TestClock guards against a clock that stands still.
 func TestClock(t *testing.T) {
 	begin := Clock()
--- a/internal/state/registry/duty.go
+++ b/internal/state/registry/duty.go
@@ -83,7 +83,16 @@
 		return failedResult(fault.New(fault.BadRequest, "duty granted to no host"))
 	}
 	next := r.dutyRecord()
-	if next.Token != c.ExpectedToken || next.Renewal != c.ExpectedRenewal {
+	switch {
+	case next.Token == c.ExpectedToken && next.Renewal == c.ExpectedRenewal:
+	case next.Token != 0 && c.ExpectedToken == 0:
+		// The candidate may have lost the record in a snapshot of an earlier build, and
+		// holds the duty with this token for those that have lost it too. Here nobody
+		// does until the lease is over, and tokens go on from this one.
+		next.Host, next.Token, next.Renewal = "", index, index
+		r.duty = next
+		return dutyResult(false, 0)
+	default:
 		return dutyResult(false, 0)
 	}
 	if next.Token == 0 {
