--- a/internal/coordination/usage/counter.go
+++ b/internal/coordination/usage/counter.go
@@ -56,6 +56,9 @@
 func (c *Counter) Changed(after uint64) ([]*peer.UsageCounts, uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if after >= c.sequence {
+		return nil, c.sequence
+	}
 	var list []*peer.UsageCounts
 	for window, accounts := range c.windows {
 		var counts []*peer.AccountCount
