ranks: plan map changes by the cost of copies

A change copied 4 to 12 experts per rank before its first part was in force, and passes stayed long until then. Where the catalog gives the size of an expert, the link and the share of experts, the plan now covers all sets under one limit of new experts per rank and takes the step that makes the expected time of passes over the remaining lifetime of the popularity least. The lifetime is estimated from observed shifts; the time of a step without copies is measured. Without these figures the decision is as before.

--- a/internal/coordination/ranks/plan.go
+++ b/internal/coordination/ranks/plan.go
@@ -1,6 +1,9 @@
 package ranks
 
 import (
+	"math"
+	"time"
+
 	"oleanderrack.example/oleanderrack/internal/coordination/rebalance"
 	"oleanderrack.example/oleanderrack/pkg/catalog"
 )
@@ -11,6 +14,16 @@
 	// Expert popularity can change within seconds, so the latest measurement has
 	// the largest weight.
 	popularityWeight = 0.6
+	// shiftDistance is the ratio of the distance of a measurement from the average
+	// popularity to the usual one above which the popularity has shifted, and
+	// shiftWeight the weight of a measurement then. distanceWeight is the weight of
+	// a new distance in the usual one.
+	shiftDistance  = 1.6
+	shiftWeight    = 0.9
+	distanceWeight = 0.1
+	// shiftDuration is the time within which measurements belong to one shift: the
+	// one in which it occurs covers only a part of it.
+	shiftDuration = time.Second
 	// targetSkew is the load of the busiest rank over the mean at which planning
 	// stops: further copies cost more than they gain.
 	targetSkew = 1.08
@@ -34,30 +47,76 @@
 
 // popularity estimates how often the experts of a service are selected, by set.
 type popularity struct {
-	sets []rebalance.Popularity
-	last map[string]ExpertCounts // by rank id
+	sets   []rebalance.Popularity
+	last   map[string]ExpertCounts // by rank id
+	shifts shifts
+	// distance is the moving average of the distance between a measurement and the
+	// average popularity while there is no shift.
+	distance float64
 }
 
 func newPopularity() *popularity { return &popularity{last: map[string]ExpertCounts{}} }
 
-// observe adds the counts of several ranks since their previous counts.
-func (p *popularity) observe(spec catalog.Experts, counts map[string]ExpertCounts) {
+// observe adds the counts of several ranks since their previous counts. It reports
+// whether the popularity has shifted since the previous measurement.
+func (p *popularity) observe(now time.Time, spec catalog.Experts, counts map[string]ExpertCounts) bool {
 	if len(p.sets) != spec.Sets {
 		p.sets = make([]rebalance.Popularity, spec.Sets)
 		for i := range p.sets {
 			p.sets[i].SmoothingFactor = popularityWeight
 		}
 	}
+	sums := make([][]uint64, len(p.sets))
 	for set := range p.sets {
-		sum := make([]uint64, spec.ExpertsPerSet)
+		sums[set] = make([]uint64, spec.ExpertsPerSet)
 		for id, c := range counts {
-			addDelta(sum, c, p.last[id], set)
+			addDelta(sums[set], c, p.last[id], set)
 		}
-		p.sets[set].Observe(sum)
 	}
 	for id, c := range counts {
 		p.last[id] = c
 	}
+	// Where the costs of copies are unknown, plans do not depend on shifts.
+	isShift := hasCosts(spec) && p.isShift(sums)
+	for set := range p.sets {
+		p.sets[set].SmoothingFactor = popularityWeight
+		if isShift {
+			p.sets[set].SmoothingFactor = shiftWeight
+		}
+		p.sets[set].Observe(sums[set])
+	}
+	if isShift && now.Sub(p.shifts.last) > shiftDuration {
+		p.shifts.observe(now)
+	}
+	return isShift
+}
+
+// isShift reports whether a measurement is so far from the average popularity that
+// the popularity must have shifted.
+func (p *popularity) isShift(sums [][]uint64) bool {
+	distance := 0.0
+	for set, sum := range sums {
+		shares := p.sets[set].Shares()
+		total := uint64(0)
+		for _, n := range sum {
+			total += n
+		}
+		if shares == nil || total == 0 {
+			return false
+		}
+		for e, n := range sum {
+			distance += math.Abs(float64(n)/float64(total)-shares[e]) / 2 / float64(len(sums))
+		}
+	}
+	if p.distance == 0 {
+		p.distance = distance
+		return false
+	}
+	if distance > shiftDistance*p.distance {
+		return true
+	}
+	p.distance += distanceWeight * (distance - p.distance)
+	return false
 }
 
 // addDelta adds what a rank counted since its previous counts. A restarted rank
@@ -81,22 +140,33 @@
 	// experts that ranks must load.
 	before, after float64
 	copies        int
+	// perRank is the greatest number of experts that a rank must load, expected the
+	// expected duration of the change, and lifetime that of the popularity. They
+	// are 0 if the costs of copies are unknown.
+	perRank            int
+	expected, lifetime time.Duration
 }
 
 // canImprove reports whether a perfectly balanced map would justify a change.
 func (p *popularity) canImprove(spec catalog.Experts, current Map, load float64) bool {
-	if len(current) != spec.Sets {
-		return false
+	skew, ok := p.meanSkew(spec, current)
+	return ok && skew-1 >= minGain/load
+}
+
+// meanSkew returns the mean skew of a map over all sets; ok is false before the first
+// measurement.
+func (p *popularity) meanSkew(spec catalog.Experts, current Map) (skew float64, ok bool) {
+	if len(current) != spec.Sets || len(p.sets) != spec.Sets {
+		return 0, false
 	}
-	skew := 0.0
 	for set := range p.sets {
 		shares := p.sets[set].Shares()
 		if shares == nil {
-			return false
+			return 0, false
 		}
 		skew += rebalance.Placement(current[set]).Skew(shares) / float64(spec.Sets)
 	}
-	return skew-1 >= minGain/load
+	return skew, true
 }
 
 // improve plans a map for a group, or returns nil if none justifies a change. The
--- a/internal/coordination/ranks/read.go
+++ b/internal/coordination/ranks/read.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"oleanderrack.example/oleanderrack/pkg/catalog"
 )
@@ -39,7 +40,11 @@
 		if b.popularity[service] == nil {
 			b.popularity[service] = newPopularity()
 		}
-		b.popularity[service].observe(spec, counts)
+		p := b.popularity[service]
+		if p.observe(time.Now(), spec, counts) {
+			b.scope.Counter("popularity_shifts").Inc(1)
+			b.log.Debug("popularity shifts", "service", service, "lifetime_ms", p.shifts.remaining(time.Now()).Milliseconds())
+		}
 	}
 }
 
--- a/internal/coordination/ranks/rebalancer.go
+++ b/internal/coordination/ranks/rebalancer.go
@@ -47,6 +47,14 @@
 	// sampledRanks is the number of ranks of a group whose counts are read.
 	// Requests are spread evenly, so a few ranks are representative.
 	sampledRanks = 8
+	// defaultOrderTime is the time of a change without its copies before any has
+	// ended: reports, orders, and the passes up to the one that is held.
+	// orderTimeWeight is the weight of a new measurement in its mean, and
+	// maxOrderTime bounds a measurement: a rank that does not answer for a while
+	// must not end all changes.
+	defaultOrderTime = 250 * time.Millisecond
+	orderTimeWeight  = 0.2
+	maxOrderTime     = 500 * time.Millisecond
 )
 
 // Config configures a Rebalancer.
@@ -74,6 +82,7 @@
 	lastEnded      map[string]time.Time     // end of the last change, by group
 	lastReportRead map[string]time.Time     // last read of the reports outside a change, by group
 	released       map[string]releasedPass  // by group
+	orderTime      time.Duration            // mean duration of a change without its copies
 	versionCount   uint64
 	term           uint64
 	leaderSince    time.Time
@@ -86,6 +95,7 @@
 type activeChange struct {
 	*Change
 	started        time.Time
+	copying        time.Duration // expected time of its copies; 0 if unknown
 	lastReportRead time.Time
 	loggedStage    Stage
 }
@@ -95,7 +105,7 @@
 	b := &Rebalancer{
 		cfg: cfg, log: log, scope: scope,
 		popularity: map[string]*popularity{}, maps: map[string]mapState{}, changes: map[string]*activeChange{}, lastEnded: map[string]time.Time{}, lastReportRead: map[string]time.Time{},
-		released: map[string]releasedPass{},
+		released: map[string]releasedPass{}, orderTime: defaultOrderTime,
 	}
 	go func() {
 		var lastPlanned time.Time
@@ -165,7 +175,7 @@
 			continue
 		}
 		groupLoad := load(spec, reports)
-		plan := p.improve(spec, b.maps[g.Name].content, groupLoad)
+		plan := b.plan(g, spec, p, groupLoad)
 		if plan == nil {
 			continue
 		}
@@ -173,9 +183,36 @@
 		// The term makes versions unique across leaders.
 		version := term<<24 | b.versionCount&(1<<24-1)
 		b.startChange(g, Target{Version: version, Map: plan.improved}, reports)
+		b.changes[g.Name].copying = time.Duration(plan.perRank) * spec.CopyTime()
 		b.scope.Counter("map_changes_begun").Inc(1)
+		b.scope.Counter("experts_copied").Inc(int64(plan.copies))
 		b.log.Info("map change begins", "group", g.Name, "epoch", g.Epoch, "version", version,
-			"load", groupLoad, "skew_before", plan.before, "skew_after", plan.after, "copies", plan.copies)
+			"load", groupLoad, "skew_before", plan.before, "skew_after", plan.after, "copies", plan.copies,
+			"copies_per_rank", plan.perRank, "expected_ms", plan.expected.Milliseconds(), "lifetime_ms", plan.lifetime.Milliseconds())
+	}
+}
+
+// plan plans a change of a group, or returns nil if none is justified. Where the
+// costs of copies are known, the change is the next step towards even loads.
+func (b *Rebalancer) plan(g Group, spec catalog.Experts, p *popularity, load float64) *plan {
+	current := b.maps[g.Name].content
+	if !hasCosts(spec) {
+		return p.improve(spec, current, load)
+	}
+	plan := p.improveStep(spec, current, b.costs(spec, p, load))
+	if plan == nil {
+		b.scope.Counter("map_steps_declined").Inc(1)
+	} else {
+		b.scope.Counter("map_steps_planned").Inc(1)
+	}
+	return plan
+}
+
+// costs returns what a step of a change costs now.
+func (b *Rebalancer) costs(spec catalog.Experts, p *popularity, load float64) costs {
+	return costs{
+		copyTime: spec.CopyTime(), orderTime: b.orderTime, expertShare: spec.ExpertShare,
+		lifetime: p.shifts.remaining(time.Now()), load: load,
 	}
 }
 
@@ -185,8 +222,14 @@
 // unfinished change.
 func (b *Rebalancer) isBalanced(g Group, spec catalog.Experts) bool {
 	cached, p := b.maps[g.Name], b.popularity[g.Service]
-	return p != nil && cached.content != nil && cached.epoch == g.Epoch &&
-		time.Since(b.lastReportRead[g.Name]) < maxReportAge && !p.canImprove(spec, cached.content, 1)
+	if p == nil || cached.content == nil || cached.epoch != g.Epoch || time.Since(b.lastReportRead[g.Name]) >= maxReportAge {
+		return false
+	}
+	if hasCosts(spec) {
+		skew, ok := p.meanSkew(spec, cached.content)
+		return ok && !b.costs(spec, p, 1).canPay(skew)
+	}
+	return !p.canImprove(spec, cached.content, 1)
 }
 
 // takeOver continues an unfinished change of an earlier leader, or releases a group
@@ -289,6 +332,10 @@
 	delete(b.changes, g.Name)
 	b.recordRelease(g, c)
 	b.lastEnded[g.Name] = time.Now()
+	if stage == Switched && c.copying > 0 {
+		measured := max(0, time.Since(c.started)-c.copying)
+		b.orderTime += time.Duration(orderTimeWeight * float64(min(measured, maxOrderTime)-b.orderTime))
+	}
 	if stage == Switched && c.Target.Map != nil {
 		b.maps[g.Name] = mapState{epoch: c.Epoch, version: c.Target.Version, content: c.Target.Map}
 	}
--- a/internal/coordination/rebalance/improve.go
+++ b/internal/coordination/rebalance/improve.go
@@ -106,7 +106,8 @@
 	hadAtStart   [][]bool
 	newExperts   []int
 	maxPerRank   int
-	share        []float64 // times the number of ranks
+	link         *sharedLink // nil if only maxPerRank limits what ranks load
+	share        []float64   // times the number of ranks
 	placement    Placement
 	ranksOf      [][]int  // ranks of each expert
 	hasExpert    [][]bool // rank, expert
@@ -180,10 +181,15 @@
 // mayLoad reports whether the ranks of a move may load the experts that it
 // gives them.
 func (s *search) mayLoad(m Move) bool {
-	if !s.hadAtStart[m.Rank][m.Expert] && s.newExperts[m.Rank] >= s.maxPerRank {
+	if !s.hadAtStart[m.Rank][m.Expert] && !s.hasRoom(m.Rank) {
 		return false
 	}
-	return m.SwapRank == noRank || s.hadAtStart[m.SwapRank][m.Dropped] || s.newExperts[m.SwapRank] < s.maxPerRank
+	return m.SwapRank == noRank || s.hadAtStart[m.SwapRank][m.Dropped] || s.hasRoom(m.SwapRank)
+}
+
+// hasRoom reports whether a rank may load another expert.
+func (s *search) hasRoom(rank int) bool {
+	return s.newExperts[rank] < s.maxPerRank && (s.link == nil || s.link.used[rank] < s.link.limit)
 }
 
 // tryReplicas tries replicas of the experts of a busy rank on other ranks, and
@@ -310,13 +316,13 @@
 func (s *search) replaceExpert(rank, old, expert int) {
 	s.placement.replace(rank, old, expert)
 	if !s.hadAtStart[rank][expert] {
-		s.newExperts[rank]++
+		s.countNew(rank, 1)
 	}
 	s.hasExpert[rank][expert] = true
 	s.ranksOf[expert] = append(s.ranksOf[expert], rank)
 	if old != empty {
 		if !s.hadAtStart[rank][old] {
-			s.newExperts[rank]--
+			s.countNew(rank, -1)
 		}
 		s.hasExpert[rank][old] = false
 		i := slices.Index(s.ranksOf[old], rank)
@@ -324,6 +330,13 @@
 	}
 }
 
+func (s *search) countNew(rank, change int) {
+	s.newExperts[rank] += change
+	if s.link != nil {
+		s.link.used[rank] += change
+	}
+}
+
 func eighthPower(load float64) float64 {
 	l2 := load * load
 	l4 := l2 * l2
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -125,8 +125,29 @@
 	// and MaxNewExperts how many of them one change of the map may load onto it.
 	MaxExpertsPerRank int
 	MaxNewExperts     int
+	// ExpertBytes is the size of the weights of one expert, and
+	// CopyBytesPerSecond the speed of the link over which a rank copies the
+	// experts of all sets, one after the other. ExpertShare is the part of the work on
+	// a token, from 0 to 1, that experts do; the rest does not depend on the map.
+	// A field is 0 if its value is unknown.
+	ExpertBytes        float64
+	CopyBytesPerSecond float64
+	ExpertShare        float64
 }
 
+// CopyTime returns the time in which a rank copies one expert, or 0 if the size or
+// the link is unknown.
+func (e Experts) CopyTime() time.Duration {
+	if e.ExpertBytes <= 0 || e.CopyBytesPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(min(e.ExpertBytes/e.CopyBytesPerSecond, maxCopySeconds) * float64(time.Second))
+}
+
+// maxCopySeconds bounds the time of a copy, so that sums of copies fit into a
+// time.Duration. A copy that takes an hour never pays.
+const maxCopySeconds = 3600
+
 // Limits restrict what a caller may send.
 type Limits struct {
 	HeaderBytes   int
