ranks: prepare maps for popularities seen earlier

After a shift passes are long until a step is in force, and a stream of 2 s that meets one of them is late.

--- a/internal/coordination/ranks/bench_test.go
+++ b/internal/coordination/ranks/bench_test.go
@@ -1,40 +1,39 @@
 package ranks
 
 import (
-	"math/rand/v2"
 	"testing"
-
-	"oleanderrack.example/oleanderrack/internal/coordination/rebalance"
-	"oleanderrack.example/oleanderrack/pkg/catalog"
+	"time"
 )
 
-func BenchmarkOld(b *testing.B) {
-	for name, c := range map[string]struct{ sets, experts, ranks int }{"16x24x96": {16, 96, 24}, "12x32x128": {12, 128, 32}} {
-		b.Run(name, func(b *testing.B) {
-			r := rand.New(rand.NewPCG(1, 2))
-			spec := catalog.Experts{Sets: c.sets, ExpertsPerSet: c.experts, Slots: 10, MaxExpertsPerRank: 5, MaxNewExperts: 2}
-			p := newPopularity()
-			p.sets = make([]rebalance.Popularity, c.sets)
-			m := make(Map, c.sets)
-			for s := range m {
-				m[s] = rebalance.FromScratch(nil, c.experts, c.ranks, 5)
-				counts := make([]uint64, c.experts)
-				for e := range counts {
-					counts[e] = uint64(10000 / (1 + float64(r.IntN(c.experts))))
-				}
-				p.sets[s].SmoothingFactor = 0.6
-				p.sets[s].Observe(counts)
+// BenchmarkPlan measures the plan of a change after a shift of popularity, for the
+// decision without costs and for that on steps, which knows eight popularities seen
+// earlier. A registrar has half a core, and a slow plan delays the change.
+func BenchmarkPlan(b *testing.B) {
+	for _, name := range []string{"Ferreira", "Atlas Cire grown"} {
+		d := deployments()[name]
+		t := newTopics(1, d.spec, d.topicWeight)
+		p := newPopularity()
+		now, counts := time.Unix(1000, 0), emptyCounts(d.spec)
+		current := startMap(d, t)
+		for i := range 200 {
+			if i%25 == 0 && i > 0 {
+				t.shift()
 			}
-			b.ReportAllocs()
-			for b.Loop() {
-				if pl := p.improve(spec, m, 0.7); pl == nil {
-					b.Fatal()
-				} else {
-					b.ReportMetric(pl.before, "before")
-					b.ReportMetric(pl.after, "after")
-					b.ReportMetric(float64(pl.copies), "copies")
+			addCounts(counts, t.sample(13))
+			now = now.Add(150 * time.Millisecond)
+			p.observe(now, d.spec, map[string]ExpertCounts{"r": {Sets: clone(counts)}})
+		}
+		for way, plan := range map[string]decide{"once": decideOnce(d), "steps": decideStep(d, 150*time.Millisecond)} {
+			b.Run(name+"/"+way, func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					chosen := plan(p, now, current)
+					if chosen == nil {
+						b.Fatal("no change is planned")
+					}
+					b.ReportMetric(float64(chosen.copies), "copies")
 				}
-			}
-		})
+			})
+		}
 	}
 }
--- a/internal/coordination/ranks/model_test.go
+++ b/internal/coordination/ranks/model_test.go
@@ -28,11 +28,17 @@
 	// sampledRequests is the number of requests a second that begin on the ranks
 	// whose counts are read.
 	sampledRequests float64
+	// topicWeight is the part of the weight of experts that depends on the topic of
+	// a request.
+	topicWeight float64
 }
 
 const (
 	targetGap = 120 * time.Millisecond
 	tick      = 5 * time.Millisecond
+	// streamTime is the duration of a stream: a stream is late if it meets one
+	// pass over the target gap.
+	streamTime = 2 * time.Second
 )
 
 func deployments() map[string]deployment {
@@ -45,15 +51,15 @@
 	return map[string]deployment{
 		"Ferreira": {
 			spec: spec(16, 96, 76*time.Millisecond), ranks: 24, basePass: 60 * time.Millisecond, load: 0.7,
-			shift: 3800 * time.Millisecond, shiftRange: 2200 * time.Millisecond, sampledRequests: 90,
+			shift: 3800 * time.Millisecond, shiftRange: 2200 * time.Millisecond, sampledRequests: 90, topicWeight: 0.35,
 		},
 		"DPF": {
 			spec: spec(16, 96, 27*time.Millisecond), ranks: 24, basePass: 66 * time.Millisecond, load: 0.6,
-			shift: 3400 * time.Millisecond, shiftRange: 1200 * time.Millisecond, sampledRequests: 79,
+			shift: 3400 * time.Millisecond, shiftRange: 1200 * time.Millisecond, sampledRequests: 79, topicWeight: 0.35,
 		},
 		"Atlas Cire grown": {
 			spec: spec(12, 128, 8*time.Millisecond), ranks: 32, basePass: 60 * time.Millisecond, load: 0.7,
-			shift: 3 * time.Second, shiftRange: time.Second, sampledRequests: 60,
+			shift: 3 * time.Second, shiftRange: time.Second, sampledRequests: 60, topicWeight: 0.35,
 		},
 	}
 }
@@ -67,12 +73,11 @@
 }
 
 const (
-	topicCount  = 9
-	topicWeight = 0.35
-	zipf        = 0.92
+	topicCount = 9
+	zipf       = 0.92
 )
 
-func newTopics(seed uint64, spec catalog.Experts) *topics {
+func newTopics(seed uint64, spec catalog.Experts, topicWeight float64) *topics {
 	t := &topics{rng: rand.New(rand.NewPCG(seed, 3)), shares: make([][][]float64, topicCount), demand: make([]float64, topicCount)}
 	for set := range spec.Sets {
 		common := t.draw(spec.ExpertsPerSet)
@@ -180,9 +185,13 @@
 type outcome struct {
 	shifts, changes, copies int
 	over                    time.Duration // with passes over the target gap
+	late                    float64       // part of the streams with such a pass
 	meanPass                float64       // over the pass at a skew of 1
 	relieved                time.Duration // mean time from a shift to the end of the first change
 	declined                int
+	skewShifted             float64 // mean skew just after a shift
+	skewRelieved            float64 // mean skew after the first change
+	detected                int     // shifts that were noticed
 }
 
 func (o outcome) overPerShift() time.Duration { return o.over / time.Duration(max(1, o.shifts)) }
@@ -192,31 +201,26 @@
 
 // simulate runs one group with the counts of a service.
 func simulate(d deployment, seed uint64, duration time.Duration, times protocol, plan decide) outcome {
-	t := newTopics(seed, d.spec)
+	t := newTopics(seed, d.spec, d.topicWeight)
 	noise := rand.New(rand.NewPCG(seed, 9))
 	begin := time.Unix(1000, 0)
-	current := make(Map, d.spec.Sets)
-	for set := range current {
-		current[set] = rebalance.FromScratch(t.popularity(t.demand)[set], d.spec.ExpertsPerSet, d.ranks, d.spec.MaxExpertsPerRank)
-	}
+	current := startMap(d, t)
 	var (
 		out                           outcome
 		p                             = newPopularity()
 		truth                         = t.popularity(t.demand)
 		nextShift, nextRead, idleFrom = d.shift, time.Duration(0), time.Duration(0)
-		pending                       *plan2
+		pending                       *pendingPlan
 		skew                          = meanSkew(current, truth)
 		pass                          float64 // passes since the beginning
 		requests                      float64 // since the last read
-		counts                        = make([][]uint64, d.spec.Sets)
+		counts                        = emptyCounts(d.spec)
 		shiftedAt                     time.Duration
 		isRelieved                    = true
-		passSum                       float64
+		passSum, late                 float64
+		lateUntil                     time.Duration
 		ticks                         int
 	)
-	for set := range counts {
-		counts[set] = make([]uint64, d.spec.ExpertsPerSet)
-	}
 	for now := time.Duration(0); now < duration; now += tick {
 		if now >= nextShift {
 			t.shift()
@@ -225,16 +229,13 @@
 			nextShift = now + d.shift + time.Duration(noise.Float64()*float64(d.shiftRange))
 			out.shifts++
 			shiftedAt, isRelieved = now, false
+			out.skewShifted += skew
 		}
 		requests += d.sampledRequests * tick.Seconds()
 		if requests >= 1 && noise.Float64() < 0.5 {
 			n := int(requests)
 			requests -= float64(n)
-			for set, c := range t.sample(n) {
-				for e := range c {
-					counts[set][e] += c[e]
-				}
-			}
+			addCounts(counts, t.sample(n))
 		}
 		passTime := float64(d.basePass) * (1 - d.spec.ExpertShare + d.spec.ExpertShare*skew)
 		if pending != nil && now < pending.copied && now >= pending.ordered {
@@ -246,6 +247,10 @@
 			ticks++
 			if passTime > float64(targetGap) {
 				out.over += tick
+				lateUntil = now + streamTime
+			}
+			if now < lateUntil {
+				late++
 			}
 		}
 		if now >= nextRead {
@@ -276,26 +281,56 @@
 			if !isRelieved {
 				isRelieved = true
 				out.relieved += now - shiftedAt
+				out.skewRelieved += skew
 			}
 		}
 	}
+	out.skewShifted /= float64(max(1, out.shifts))
+	out.skewRelieved /= float64(max(1, out.shifts))
+	out.detected = p.shifts.count
+	out.late = late / float64(max(1, ticks))
 	out.meanPass = passSum / float64(max(1, ticks))
 	out.relieved /= time.Duration(max(1, out.shifts))
 	return out
 }
 
-// plan2 is a change in progress.
-type plan2 struct {
+// startMap returns a map for the demand at the beginning.
+func startMap(d deployment, t *topics) Map {
+	m := make(Map, d.spec.Sets)
+	for set, shares := range t.popularity(t.demand) {
+		m[set] = rebalance.FromScratch(shares, d.spec.ExpertsPerSet, d.ranks, d.spec.MaxExpertsPerRank)
+	}
+	return m
+}
+
+func emptyCounts(spec catalog.Experts) [][]uint64 {
+	out := make([][]uint64, spec.Sets)
+	for set := range out {
+		out[set] = make([]uint64, spec.ExpertsPerSet)
+	}
+	return out
+}
+
+func addCounts(sum, counts [][]uint64) {
+	for set := range counts {
+		for e, n := range counts[set] {
+			sum[set][e] += n
+		}
+	}
+}
+
+// pendingPlan is a change in progress.
+type pendingPlan struct {
 	*plan
 	ordered, copied, heldAt time.Duration
 	heldPass                float64
 }
 
-func newPlan2(chosen *plan, current Map, now time.Duration, times protocol, spec catalog.Experts) *plan2 {
+func newPlan2(chosen *plan, current Map, now time.Duration, times protocol, spec catalog.Experts) *pendingPlan {
 	ordered := now + times.begin
 	copied := ordered + time.Duration(newPerRank(current, chosen.improved))*spec.CopyTime()
 	polls := (copied - ordered + times.poll - 1) / times.poll
-	return &plan2{plan: chosen, ordered: ordered, copied: copied, heldAt: ordered + polls*times.poll + times.orders}
+	return &pendingPlan{plan: chosen, ordered: ordered, copied: copied, heldAt: ordered + polls*times.poll + times.orders}
 }
 
 // newPerRank returns the greatest number of new experts on any rank.
@@ -353,6 +388,7 @@
 	if !*measure {
 		t.Skip("run with -measure")
 	}
+	const seeds = 4
 	for _, name := range []string{"Ferreira", "DPF", "Atlas Cire grown"} {
 		d := deployments()[name]
 		stepTimes := oldTimes
@@ -366,18 +402,21 @@
 			{"steps", stepTimes, decideStep(d, 250*time.Millisecond)},
 		} {
 			var sum outcome
-			for seed := range uint64(5) {
+			for seed := range uint64(seeds) {
 				o := simulate(d, seed, time.Minute, way.times, way.plan)
 				sum.shifts += o.shifts
 				sum.changes += o.changes
 				sum.copies += o.copies
 				sum.over += o.over
-				sum.meanPass += o.meanPass / 5
-				sum.relieved += o.relieved / 5
+				sum.meanPass += o.meanPass / seeds
+				sum.late += o.late / seeds
+				sum.relieved += o.relieved / seeds
+				sum.skewShifted += o.skewShifted / seeds
+				sum.skewRelieved += o.skewRelieved / seeds
 			}
 			n := float64(sum.shifts)
-			fmt.Printf("%-17s %-6s over target %4d ms/shift, mean pass %.3f, relieved after %4d ms, %.1f changes %.0f copies %.1f GB a shift\n",
-				name, way.name, sum.overPerShift().Milliseconds(), sum.meanPass, sum.relieved.Milliseconds(),
+			fmt.Printf("%-17s %-6s late %4.1f %%, over target %4d ms/shift, mean pass %.3f, relieved after %4d ms, skew %.2f %.2f, %.1f changes %.0f copies %.1f GB a shift\n",
+				name, way.name, 100*sum.late, sum.overPerShift().Milliseconds(), sum.meanPass, sum.relieved.Milliseconds(), sum.skewShifted, sum.skewRelieved,
 				float64(sum.changes)/n, float64(sum.copies)/n, float64(sum.copies)/n*d.spec.ExpertBytes/1e9)
 		}
 	}
--- a/internal/coordination/ranks/plan.go
+++ b/internal/coordination/ranks/plan.go
@@ -14,6 +14,8 @@
 	// Expert popularity can change within seconds, so the latest measurement has
 	// the largest weight.
 	popularityWeight = 0.6
+	// steadyWeight is the weight of a new measurement where shifts are noticed.
+	steadyWeight = 0.4
 	// shiftDistance is the ratio of the distance of a measurement from the average
 	// popularity to the usual one above which the popularity has shifted, and
 	// shiftWeight the weight of a measurement then. distanceWeight is the weight of
@@ -47,9 +49,11 @@
 
 // popularity estimates how often the experts of a service are selected, by set.
 type popularity struct {
-	sets   []rebalance.Popularity
-	last   map[string]ExpertCounts // by rank id
-	shifts shifts
+	sets    []rebalance.Popularity
+	experts int                     // in each set
+	last    map[string]ExpertCounts // by rank id
+	shifts  shifts
+	seen    seen
 	// distance is the moving average of the distance between a measurement and the
 	// average popularity while there is no shift.
 	distance float64
@@ -60,7 +64,8 @@
 // observe adds the counts of several ranks since their previous counts. It reports
 // whether the popularity has shifted since the previous measurement.
 func (p *popularity) observe(now time.Time, spec catalog.Experts, counts map[string]ExpertCounts) bool {
-	if len(p.sets) != spec.Sets {
+	if len(p.sets) != spec.Sets || p.experts != spec.ExpertsPerSet {
+		p.experts, p.seen, p.last = spec.ExpertsPerSet, seen{}, map[string]ExpertCounts{}
 		p.sets = make([]rebalance.Popularity, spec.Sets)
 		for i := range p.sets {
 			p.sets[i].SmoothingFactor = popularityWeight
@@ -79,12 +84,17 @@
 	// Where the costs of copies are unknown, plans do not depend on shifts.
 	isShift := hasCosts(spec) && p.isShift(sums)
 	for set := range p.sets {
-		p.sets[set].SmoothingFactor = popularityWeight
-		if isShift {
+		switch {
+		case isShift:
 			p.sets[set].SmoothingFactor = shiftWeight
+		case hasCosts(spec):
+			p.sets[set].SmoothingFactor = steadyWeight
 		}
 		p.sets[set].Observe(sums[set])
 	}
+	if hasCosts(spec) {
+		p.seen.observe(sums, isShift, p.distance)
+	}
 	if isShift && now.Sub(p.shifts.last) > shiftDuration {
 		p.shifts.observe(now)
 	}
--- a/internal/coordination/ranks/rebalancer.go
+++ b/internal/coordination/ranks/rebalancer.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"oleanderrack.example/oleanderrack/internal/coordination/rebalance"
 	"oleanderrack.example/oleanderrack/pkg/catalog"
 )
 
@@ -227,7 +228,7 @@
 	}
 	if hasCosts(spec) {
 		skew, ok := p.meanSkew(spec, cached.content)
-		return ok && !b.costs(spec, p, 1).canPay(skew)
+		return ok && !b.costs(spec, p, 1).canPay(rebalance.Stage{Skew: skew, SeenSkew: p.seenSkew(spec, cached.content)})
 	}
 	return !p.canImprove(spec, cached.content, 1)
 }
--- a/internal/coordination/ranks/step.go
+++ b/internal/coordination/ranks/step.go
@@ -14,10 +14,17 @@
 	// minCopyGain is the least reduction of the skew of a set, per copy and at full
 	// load, for which a copy is made. It bounds the copies on ranks that would
 	// otherwise wait for the rank that copies longest.
-	minCopyGain = 0.005
-	// minSaving is the least fraction of the time of passes over the remaining
-	// lifetime of the popularity, at full load, for which a step is made.
-	minSaving = 0.02
+	minCopyGain = 0.01
+	// minSaving is the least saving, as a fraction of the remaining lifetime of the
+	// popularity and at full load, for which a step is made.
+	minSaving = 0.04
+	// unchangedStages is the number of stages that must leave the first step
+	// unchanged before the search ends.
+	unchangedStages = 2
+	// seenTime is the time after the next shift for which the map that is then in
+	// use counts. It is longer than the time until a step is in force, since a
+	// stream is late from its first long pass on.
+	seenTime = 2 * time.Second
 )
 
 // costs are what the decision on a step depends on, besides placements and shares.
@@ -51,21 +58,27 @@
 	return c.orderTime.Seconds()*(slow-c.passTime(final)) + copying*(slow*(1+copySlowdown)-c.passTime(final))
 }
 
+// total returns the expected time of passes, in seconds at a skew of 1, from now until
+// the next shift is dealt with, if the placements are those of a stage throughout.
+func (c costs) total(s rebalance.Stage) float64 {
+	total := c.lifetime.Seconds() * c.passTime(s.Skew)
+	if s.SeenSkew > 0 {
+		total += seenTime.Seconds() * c.passTime(s.SeenSkew)
+	}
+	return total
+}
+
 // canPay reports whether a step with one copy on each rank would pay if it made the
 // placements even.
-func (c costs) canPay(skew float64) bool {
-	first, even := rebalance.Stage{Skew: skew}, rebalance.Stage{PerRank: 1, Skew: 1}
-	return c.saving(first, c.lifetime.Seconds()*c.passTime(1)+c.lost(first, even, 1)) >= minSaving/c.load
+func (c costs) canPay(s rebalance.Stage) bool {
+	even := rebalance.Stage{PerRank: s.PerRank + 1, Skew: 1, SeenSkew: min(1, s.SeenSkew)}
+	return c.saves(s, c.total(even)+c.lost(s, even, 1))
 }
 
-// saving returns the fraction by which a total time of passes, in seconds, is less
-// than that without a change.
-func (c costs) saving(first rebalance.Stage, total float64) float64 {
-	without := c.lifetime.Seconds() * c.passTime(first.Skew)
-	if without <= 0 {
-		return 0
-	}
-	return 1 - total/without
+// saves reports whether a total time of passes is so much less than that without a
+// change that a change is justified.
+func (c costs) saves(first rebalance.Stage, total float64) bool {
+	return c.total(first)-total >= minSaving/c.load*c.lifetime.Seconds()
 }
 
 // chooseStep returns the index of the stage that the next step is to reach, or 0 if
@@ -78,17 +91,28 @@
 	bestTotal := math.Inf(1)
 	for final := range stages {
 		first, lost := c.shortestPath(stages, final)
-		total := c.lifetime.Seconds()*c.passTime(stages[final].Skew) + lost
+		total := c.total(stages[final]) + lost
 		if total < bestTotal {
 			best, next, bestTotal = final, first, total
 		}
 	}
-	if best == 0 || c.saving(stages[0], bestTotal) < minSaving/c.load {
+	if best == 0 || !c.saves(stages[0], bestTotal) {
 		return 0
 	}
 	return next
 }
 
+// isSettled reports whether the last stages change nothing in the choice of the first
+// step, so that later ones hardly would.
+func (c costs) isSettled(stages []rebalance.Stage) bool {
+	n := len(stages) - unchangedStages
+	if n < 2 {
+		return false
+	}
+	first := c.chooseStep(stages[:n])
+	return first > 0 && first == c.chooseStep(stages)
+}
+
 // shortestPath returns the first stage of the sequence of steps to the stage final
 // that loses the least time, and the time lost.
 func (c costs) shortestPath(stages []rebalance.Stage, final int) (first int, lost float64) {
@@ -115,19 +139,21 @@
 	if len(current) != spec.Sets || len(p.sets) != spec.Sets {
 		return nil
 	}
-	placements, shares := make([]rebalance.Placement, spec.Sets), make([][]float64, spec.Sets)
-	for set := range p.sets {
-		placements[set], shares[set] = current[set], p.sets[set].Shares()
-		if shares[set] == nil {
+	layers := make([]rebalance.Layer, spec.Sets)
+	for set := range layers {
+		layers[set] = rebalance.Layer{Placement: current[set], Shares: p.sets[set].Shares(), Seen: p.seen.shares(set)}
+		if layers[set].Shares == nil {
 			return nil
 		}
 	}
 	limits := rebalance.Limits{
 		Slots: spec.MaxExpertsPerRank, MaxPerRank: spec.MaxNewExperts, MinGain: minCopyGain / c.load, TargetSkew: targetSkew,
+		SeenWeight: seenTime.Seconds() / c.lifetime.Seconds(),
 	}
-	result := rebalance.ImproveTogether(placements, shares, limits, func(s rebalance.Stage) bool {
-		// Even without any copies of the following step, its orders take time.
-		return c.canPay(s.Skew)
+	var stages []rebalance.Stage
+	result := rebalance.ImproveTogether(layers, limits, func(s rebalance.Stage) bool {
+		stages = append(stages, s)
+		return c.canPay(s) && !c.isSettled(stages)
 	})
 	index := c.chooseStep(result.Stages)
 	if index == 0 {
--- a/internal/coordination/rebalance/improve.go
+++ b/internal/coordination/rebalance/improve.go
@@ -145,8 +145,8 @@
 
 func (s *search) replicaLoad(e int) float64 { return s.share[e] / float64(len(s.ranksOf[e])) }
 
-// best returns the best move that loads at most limit weights.
-func (s *search) best(limit int) (Move, bool) {
+// sortRanks puts the ranks in order, busiest first.
+func (s *search) sortRanks() {
 	slices.SortStableFunc(s.order, func(a, b int) int {
 		switch {
 		case s.load[a] > s.load[b]:
@@ -156,6 +156,11 @@
 		}
 		return a - b
 	})
+}
+
+// best returns the best move that loads at most limit weights.
+func (s *search) best(limit int) (Move, bool) {
+	s.sortRanks()
 	var best Move
 	bestGain := minGain
 	try := func(m Move) {
@@ -192,12 +197,15 @@
 	return s.newExperts[rank] < s.maxPerRank && (s.link == nil || s.link.used[rank] < s.link.limit)
 }
 
+// isLinkFull reports whether a rank may load no more experts over a shared link.
+func (s *search) isLinkFull(rank int) bool { return s.link != nil && !s.hasRoom(rank) }
+
 // tryReplicas tries replicas of the experts of a busy rank on other ranks, and
 // experts with less load in place of its own.
 func (s *search) tryReplicas(busy int, try func(Move)) {
 	for _, e := range s.placement[busy] {
 		for r := range s.placement {
-			if s.hasExpert[r][e] {
+			if s.hasExpert[r][e] || s.isLinkFull(r) {
 				continue
 			}
 			if len(s.placement[r]) < s.slots {
@@ -209,7 +217,7 @@
 				}
 			}
 		}
-		if len(s.ranksOf[e]) < 2 {
+		if len(s.ranksOf[e]) < 2 || s.isLinkFull(busy) {
 			continue
 		}
 		for x := range s.share {
@@ -222,9 +230,12 @@
 
 // trySwaps tries to exchange an expert of a busy rank for one with less load.
 func (s *search) trySwaps(busy int, try func(Move)) {
+	if s.isLinkFull(busy) {
+		return
+	}
 	for _, e := range s.placement[busy] {
 		for r := range s.placement {
-			if s.hasExpert[r][e] || s.load[r] >= s.load[busy] {
+			if s.hasExpert[r][e] || s.load[r] >= s.load[busy] || s.isLinkFull(r) {
 				continue
 			}
 			for _, x := range s.placement[r] {
@@ -307,6 +318,11 @@
 		s.load[r] += s.delta[r]
 	}
 	s.clear()
+	s.replaceExperts(m)
+}
+
+// replaceExperts updates the placement by a move.
+func (s *search) replaceExperts(m Move) {
 	s.replaceExpert(m.Rank, m.Dropped, m.Expert)
 	if m.SwapRank != noRank {
 		s.replaceExpert(m.SwapRank, m.Expert, m.Dropped)
