ranks, rebalance: fewer searches for a plan of a step

A plan took more processor time than the one without costs for 32 ranks and 128 experts. With small experts, stages are now further apart, and copies are tried on ranks with less than the mean load only.

--- a/internal/coordination/ranks/step.go
+++ b/internal/coordination/ranks/step.go
@@ -18,6 +18,10 @@
 	// minSaving is the least saving, as a fraction of the remaining lifetime of the
 	// popularity and at full load, for which a step is made.
 	minSaving = 0.04
+	// stagesPerOrder is the number of stages whose copies take together as long as
+	// the orders of a step. With small experts, stages closer together hardly differ
+	// in time.
+	stagesPerOrder = 5
 	// unchangedStages is the number of stages that must leave the first step
 	// unchanged before the search ends.
 	unchangedStages = 2
@@ -147,7 +151,7 @@
 		}
 	}
 	limits := rebalance.Limits{
-		Slots: spec.MaxExpertsPerRank, MaxPerRank: spec.MaxNewExperts, MinGain: minCopyGain / c.load, TargetSkew: targetSkew,
+		Increment: int(c.orderTime / (stagesPerOrder * c.copyTime)), Slots: spec.MaxExpertsPerRank, MaxPerRank: spec.MaxNewExperts, MinGain: minCopyGain / c.load, TargetSkew: targetSkew,
 		SeenWeight: seenTime.Seconds() / c.lifetime.Seconds(),
 	}
 	var stages []rebalance.Stage
--- a/internal/coordination/rebalance/improve.go
+++ b/internal/coordination/rebalance/improve.go
@@ -205,7 +205,9 @@
 func (s *search) tryReplicas(busy int, try func(Move)) {
 	for _, e := range s.placement[busy] {
 		for r := range s.placement {
-			if s.hasExpert[r][e] || s.isLinkFull(r) {
+			// Over a shared link, places on ranks with less than the mean load are
+			// tried only: others rarely gain most, and a plan must not take long.
+			if s.hasExpert[r][e] || s.isLinkFull(r) || (s.link != nil && s.load[r] >= 1) {
 				continue
 			}
 			if len(s.placement[r]) < s.slots {
--- a/internal/coordination/rebalance/together.go
+++ b/internal/coordination/rebalance/together.go
@@ -7,6 +7,9 @@
 	// Slots is the number of experts of one placement that fit on a rank, and
 	// MaxPerRank the number of new ones of one placement that a rank may load.
 	Slots, MaxPerRank int
+	// Increment is the least difference, in new experts per rank, between two stages;
+	// 0 means 1.
+	Increment int
 	// MinGain is the least decrease of a placement's busy load per expert loaded
 	// for which a move is made.
 	MinGain float64
@@ -76,7 +79,7 @@
 	t.Stages = append(t.Stages, stage)
 	maxPerRank := limits.MaxPerRank * len(layers)
 	for proceed(stage) && link.limit < maxPerRank {
-		link.limit = nextLimit(link.limit)
+		link.limit = limits.next(link.limit)
 		for _, s := range searches {
 			s.isCurrent = false
 		}
@@ -101,9 +104,9 @@
 	return t
 }
 
-// nextLimit returns the limit of the next stage. Above 4, limits are a quarter apart:
-// each stage costs a search for moves in every placement.
-func nextLimit(limit int) int { return limit + max(1, limit/4) }
+// next returns the limit of the next stage. Limits are at least a quarter apart: each
+// stage costs a search for moves in every placement.
+func (l Limits) next(limit int) int { return limit + max(1, l.Increment, limit/4) }
 
 func (t Together) stage(searches []*jointSearch, link *sharedLink) Stage {
 	s := Stage{moves: make([]int, len(searches))}
--- a/internal/coordination/rebalance/together_test.go
+++ b/internal/coordination/rebalance/together_test.go
@@ -16,7 +16,7 @@
 		ranks := rapid.IntRange(1, 6).Draw(t, "ranks")
 		least := (experts + ranks - 1) / ranks
 		slots := rapid.IntRange(least, min(experts, least+2)).Draw(t, "slots")
-		limits := Limits{Slots: slots, MaxPerRank: rapid.IntRange(1, 2).Draw(t, "per rank"), MinGain: 0.001, TargetSkew: 1, SeenWeight: 0.5}
+		limits := Limits{Slots: slots, MaxPerRank: rapid.IntRange(1, 2).Draw(t, "per rank"), Increment: rapid.IntRange(0, 3).Draw(t, "increment"), MinGain: 0.001, TargetSkew: 1, SeenWeight: 0.5}
 		var layers []Layer
 		for range rapid.IntRange(0, 4).Draw(t, "layers") {
 			l := Layer{Placement: FromScratch(drawShares(t, experts), experts, ranks, slots), Shares: drawShares(t, experts)}
