--- a/internal/coordination/rebalance/improve.go
+++ b/internal/coordination/rebalance/improve.go
@@ -106,7 +106,8 @@
 	hadAtStart   [][]bool
 	newExperts   []int
 	maxPerRank   int
-	share        []float64 // times the number of ranks
+	link         *sharedLink // nil if only maxPerRank limits what ranks load
+	share        []float64   // times the number of ranks
 	placement    Placement
 	ranksOf      [][]int  // ranks of each expert
 	hasExpert    [][]bool // rank, expert
@@ -144,8 +145,8 @@
 
 func (s *search) replicaLoad(e int) float64 { return s.share[e] / float64(len(s.ranksOf[e])) }
 
-// best returns the best move that loads at most limit weights.
-func (s *search) best(limit int) (Move, bool) {
+// sortRanks puts the ranks in order, busiest first.
+func (s *search) sortRanks() {
 	slices.SortStableFunc(s.order, func(a, b int) int {
 		switch {
 		case s.load[a] > s.load[b]:
@@ -155,6 +156,11 @@
 		}
 		return a - b
 	})
+}
+
+// best returns the best move that loads at most limit weights.
+func (s *search) best(limit int) (Move, bool) {
+	s.sortRanks()
 	var best Move
 	bestGain := minGain
 	try := func(m Move) {
@@ -180,18 +186,28 @@
 // mayLoad reports whether the ranks of a move may load the experts that it
 // gives them.
 func (s *search) mayLoad(m Move) bool {
-	if !s.hadAtStart[m.Rank][m.Expert] && s.newExperts[m.Rank] >= s.maxPerRank {
+	if !s.hadAtStart[m.Rank][m.Expert] && !s.hasRoom(m.Rank) {
 		return false
 	}
-	return m.SwapRank == noRank || s.hadAtStart[m.SwapRank][m.Dropped] || s.newExperts[m.SwapRank] < s.maxPerRank
+	return m.SwapRank == noRank || s.hadAtStart[m.SwapRank][m.Dropped] || s.hasRoom(m.SwapRank)
+}
+
+// hasRoom reports whether a rank may load another expert.
+func (s *search) hasRoom(rank int) bool {
+	return s.newExperts[rank] < s.maxPerRank && (s.link == nil || s.link.used[rank] < s.link.limit)
 }
 
+// isLinkFull reports whether a rank may load no more experts over a shared link.
+func (s *search) isLinkFull(rank int) bool { return s.link != nil && !s.hasRoom(rank) }
+
 // tryReplicas tries replicas of the experts of a busy rank on other ranks, and
 // experts with less load in place of its own.
 func (s *search) tryReplicas(busy int, try func(Move)) {
 	for _, e := range s.placement[busy] {
 		for r := range s.placement {
-			if s.hasExpert[r][e] {
+			// Over a shared link, places on ranks with less than the mean load are
+			// tried only: others rarely gain most, and a plan must not take long.
+			if s.hasExpert[r][e] || s.isLinkFull(r) || (s.link != nil && s.load[r] >= 1) {
 				continue
 			}
 			if len(s.placement[r]) < s.slots {
@@ -203,7 +219,7 @@
 				}
 			}
 		}
-		if len(s.ranksOf[e]) < 2 {
+		if len(s.ranksOf[e]) < 2 || s.isLinkFull(busy) {
 			continue
 		}
 		for x := range s.share {
@@ -216,9 +232,12 @@
 
 // trySwaps tries to exchange an expert of a busy rank for one with less load.
 func (s *search) trySwaps(busy int, try func(Move)) {
+	if s.isLinkFull(busy) {
+		return
+	}
 	for _, e := range s.placement[busy] {
 		for r := range s.placement {
-			if s.hasExpert[r][e] || s.load[r] >= s.load[busy] {
+			if s.hasExpert[r][e] || s.load[r] >= s.load[busy] || s.isLinkFull(r) {
 				continue
 			}
 			for _, x := range s.placement[r] {
@@ -301,6 +320,11 @@
 		s.load[r] += s.delta[r]
 	}
 	s.clear()
+	s.replaceExperts(m)
+}
+
+// replaceExperts updates the placement by a move.
+func (s *search) replaceExperts(m Move) {
 	s.replaceExpert(m.Rank, m.Dropped, m.Expert)
 	if m.SwapRank != noRank {
 		s.replaceExpert(m.SwapRank, m.Expert, m.Dropped)
@@ -310,13 +334,13 @@
 func (s *search) replaceExpert(rank, old, expert int) {
 	s.placement.replace(rank, old, expert)
 	if !s.hadAtStart[rank][expert] {
-		s.newExperts[rank]++
+		s.countNew(rank, 1)
 	}
 	s.hasExpert[rank][expert] = true
 	s.ranksOf[expert] = append(s.ranksOf[expert], rank)
 	if old != empty {
 		if !s.hadAtStart[rank][old] {
-			s.newExperts[rank]--
+			s.countNew(rank, -1)
 		}
 		s.hasExpert[rank][old] = false
 		i := slices.Index(s.ranksOf[old], rank)
@@ -324,6 +348,13 @@
 	}
 }
 
+func (s *search) countNew(rank, change int) {
+	s.newExperts[rank] += change
+	if s.link != nil {
+		s.link.used[rank] += change
+	}
+}
+
 func eighthPower(load float64) float64 {
 	l2 := load * load
 	l4 := l2 * l2
