gateway, size: read the size of a request, set its urgency

pool.Request had no client account, size or deadline, the header of the urgency was removed but never set, and log lines of refusals with 401 showed a deadline of - ms and no request id.

Package size reads the three headers. A value that cannot be used counts as not given; one line a second for each reason and a counter tell of it. The urgency is set for services with engines, from the priority, 0 to 9. The log line has the request id from the start, and a deadline only once it is known.

--- a/internal/coordination/gateway/admit.go
+++ b/internal/coordination/gateway/admit.go
@@ -38,6 +38,8 @@
 // admit finds the route, authenticates the caller, sets the deadline and reads the
 // body.
 func (c *call) admit() *fault.Error {
+	headerNames := &c.gateway.cfg.HeaderNames
+	c.id = c.request.Header.Get(headerNames.RequestID)
 	view := c.gateway.currentView(c.request.Context())
 	if view == nil {
 		return fault.New(fault.Unavailable, "no catalog received yet").WithRetryAfter(admitRetryAfter)
@@ -52,7 +54,6 @@
 		return fault.New(fault.NotFound, "no route for host %q and path %q", c.request.Host, path)
 	}
 	c.route = route
-	headerNames := &c.gateway.cfg.HeaderNames
 	if view.Index.NeedsKey(route) {
 		account, ok := view.Index.Account(c.request.Header.Get(headerNames.APIKey))
 		if !ok {
@@ -60,7 +61,6 @@
 		}
 		c.account = account
 	}
-	c.id = c.request.Header.Get(headerNames.RequestID)
 	if c.id == "" {
 		return fault.New(fault.BadRequest, "the request has no %s header", headerNames.RequestID)
 	}
@@ -68,6 +68,7 @@
 	if err := c.setDeadline(headerNames.DeadlineRemaining); err != nil {
 		return err
 	}
+	c.readSize()
 	if err := c.readBody(view.Index.Catalog.Limits.BodyBytes); err != nil {
 		return err
 	}
@@ -145,6 +146,9 @@
 	if c.account != nil {
 		header.Set(headerNames.ClientAccount, c.account.Name)
 	}
+	if c.usesUrgency {
+		header.Set(headerNames.Urgency, strconv.Itoa(urgency(c.priority())))
+	}
 	return &backend.Request{
 		Method: c.request.Method, Target: c.target(), Host: c.request.Host, ID: c.id,
 		Header: header, Body: c.body, HasBody: c.hasBody, NewConnection: !c.mayRepeat(),
@@ -173,6 +177,7 @@
 	return &pool.Request{
 		Service: c.service, Priority: c.priority(), Arrived: c.arrived, LatestStart: latestStart,
 		TargetStart: c.targetStart(), TargetGap: c.route.TargetGap, Tried: c.tried, IsRetry: c.sends > 0,
+		ID: c.id, Kind: c.route.Name, ClientAccount: c.accountName(), Size: c.size, Deadline: c.deadline,
 	}
 }
 
--- a/internal/coordination/gateway/call.go
+++ b/internal/coordination/gateway/call.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"oleanderrack.example/oleanderrack/internal/coordination/pool"
+	"oleanderrack.example/oleanderrack/internal/coordination/size"
 	"oleanderrack.example/oleanderrack/pkg/catalog"
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
@@ -39,10 +40,14 @@
 	parts          []string // of its prompt, those that others may share
 	service        string
 	account        *catalog.ClientAccount
-	deadline       time.Time
-	body           []byte
-	hasBody        bool
-	reserved       int64
+	deadline       time.Time // zero until it is known
+	size           size.Hint
+	// usesUrgency says that the backend servers of the service order requests by the
+	// urgency header.
+	usesUrgency bool
+	body        []byte
+	hasBody     bool
+	reserved    int64
 
 	tried      []string
 	attemptLog []string // one element for each attempt
@@ -102,7 +107,7 @@
 	defer stopServing()
 	ctx, cancel := context.WithDeadline(serving, c.deadline)
 	defer cancel()
-	c.service = c.route.PickService(c.gateway.randomFloat())
+	c.pickService()
 	for {
 		if out := c.tryOnce(ctx); out != nil {
 			return out
@@ -210,7 +215,10 @@
 			"waited_ms", c.waited.Milliseconds(), "first_ms", c.timeToFirst.Milliseconds(), "whole_ms", ended.Sub(c.arrived).Milliseconds(),
 			"attempts", c.attemptLog, "runs", c.possibleRuns}
 		if c.route != nil {
-			list = append(list, "route", c.route.Name, "deadline_ms", c.deadline.Sub(c.arrived).Milliseconds())
+			list = append(list, "route", c.route.Name)
+		}
+		if !c.deadline.IsZero() {
+			list = append(list, "deadline_ms", c.deadline.Sub(c.arrived).Milliseconds())
 		}
 		if c.account != nil {
 			list = append(list, "client_account", c.account.Name)
--- a/internal/coordination/gateway/fake_test.go
+++ b/internal/coordination/gateway/fake_test.go
@@ -27,7 +27,7 @@
 var headerNames = backend.HeaderNames{
 	RequestID: "X-Request-Id", DeadlineRemaining: "X-Remaining", ExpectedIncarnation: "X-Expected", ClientAccount: "X-Account", APIKey: "X-Key", Incarnation: "X-Incarnation",
 	Signature: "X-Signature", NotRun: "X-Not-Run", Leaving: "Server-Leaving", Load: "X-Load", ColdRemaining: "X-Cold", Urgency: "X-Urgency", LastEventID: "Last-Event-Id",
-	PromptParts: "X-Prompt",
+	PromptParts: "X-Prompt", TokenCounts: "X-Tokens", LengthHint: "X-Length",
 }
 
 // fakeServer is a backend server that answers with scripted bytes.
@@ -172,13 +172,17 @@
 }
 
 func newTestGateway(t *testing.T, fakes ...*fakeServer) *testGateway {
+	return newLoggingGateway(t, hclog.NewNullLogger(), fakes...)
+}
+
+func newLoggingGateway(t *testing.T, log hclog.Logger, fakes ...*fakeServer) *testGateway {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	scope := tally.NewTestScope("", nil)
 	g := New(ctx, Config{
 		HeaderNames: headerNames, MaxBufferedBodyBytes: 1 << 20,
 		Pool: pool.Config{Random: rand.New(rand.NewPCG(1, 1)), RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second},
-	}, hclog.NewNullLogger(), scope)
+	}, log, scope)
 	route := func(prefix string, kind catalog.Kind) catalog.Route {
 		return catalog.Route{
 			Name: prefix, Host: "shop.example", PathPrefix: "/" + prefix + "/", Kind: kind, Timeout: 2 * time.Second,
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -110,6 +110,8 @@
 	loggedConditions map[pool.Subject]pool.State
 	targetGap        time.Duration
 	random           *rand.Rand
+	// invalidAttributes bounds the log lines about attributes that cannot be used.
+	invalidAttributes invalidAttributes
 	// drainEnd is when serving ends, zero unless the process drains. durations are
 	// those of the requests of each route, by name.
 	drainEnd  time.Time
--- a/internal/coordination/pool/decision.go
+++ b/internal/coordination/pool/decision.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"oleanderrack.example/oleanderrack/internal/coordination/follower"
+	"oleanderrack.example/oleanderrack/internal/coordination/size"
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
 
@@ -21,6 +22,15 @@
 	// TargetGap is the longest acceptable time between two events of a stream, or
 	// 0 if there is no limit.
 	TargetGap time.Duration
+	// ID is the caller's id of the request, which a resend repeats, and Kind names
+	// the route.
+	ID, Kind string
+	// ClientAccount is the account that the request is for, or empty.
+	ClientAccount string
+	// Size is what the caller says about the work.
+	Size size.Hint
+	// Deadline is when the caller gives up; zero if it never does.
+	Deadline time.Time
 	// Tried holds the ids of backend servers that must not be chosen again.
 	Tried []string
 	// IsRetry reports whether the request was sent before.
--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -110,6 +110,10 @@
 	// PromptParts lists the parts of the request's prompt, each with its number of
 	// tokens.
 	PromptParts string
+	// TokenCounts holds the tokens of the prompt and the most tokens of the answer.
+	TokenCounts string
+	// LengthHint is the expected number of tokens of the answer.
+	LengthHint string
 }
 
 // Request is one request as it is written to the connection.
