pool, gateway: queue, wait and refuse by priority; accounts share what there is

Urgent requests had the shortest wait, as it followed from their own target, and less urgent ones that waited longer took the slots. Late urgent requests also left slots to less urgent ones on time, and one account could take all.

A request waits as long as the least urgent of its service may. Before an urgent one is refused, the last less urgent one in the queue is; one that more urgent ones keep from starting is refused at once. Room is kept for requests of at least the same priority only. Within a priority, accounts share by start-time fair queueing over the expected work, which sizes given by callers predict as far as they have been found to; the largest request gives way to smaller ones unless its size class is served much less than its kind.

--- a/internal/coordination/gateway/admit.go
+++ b/internal/coordination/gateway/admit.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -47,7 +48,7 @@
 	if c.gateway.isStale(c.arrived) {
 		return fault.New(fault.NoLease, "no contact with a quorum of registrars").WithRetryAfter(admitRetryAfter)
 	}
-	c.catalogVersion = view.Index.Catalog.Version
+	c.index, c.catalogVersion = view.Index, view.Index.Catalog.Version
 	path, _, _ := strings.Cut(c.target(), "?")
 	route, ok := view.Index.Route(c.request.Host, path)
 	if !ok {
@@ -166,11 +167,7 @@
 
 // poolRequest returns the request to the pool for the next attempt.
 func (c *call) poolRequest(now time.Time) *pool.Request {
-	wait := min(maxWaitLatencies*c.route.TargetLatency, c.route.Timeout/maxWaitTimeoutDivisor)
-	if c.route.TargetLatency == 0 {
-		wait = c.route.Timeout / maxWaitTimeoutDivisor
-	}
-	latestStart := now.Add(wait)
+	latestStart := now.Add(c.maxWait)
 	if latestStart.After(c.deadline) {
 		latestStart = c.deadline
 	}
@@ -181,6 +178,30 @@
 	}
 }
 
+// maxWait returns how long a request of a route waits for a backend server, by the
+// route's own target.
+func maxWait(r *catalog.Route) time.Duration {
+	wait := r.Timeout / maxWaitTimeoutDivisor
+	if r.TargetLatency > 0 {
+		wait = min(wait, maxWaitLatencies*r.TargetLatency)
+	}
+	return wait
+}
+
+// setMaxWait sets how long the request waits for a backend server: as its own target
+// demands, but not less than a less urgent request of the same service. Otherwise the
+// least urgent requests, whose targets are the longest, would be the last to be
+// refused.
+func (c *call) setMaxWait(index *catalog.Index) {
+	c.maxWait = maxWait(c.route)
+	for i := range index.Catalog.Routes {
+		r := &index.Catalog.Routes[i]
+		if r.Priority > c.priority() && slices.ContainsFunc(r.Split, func(s catalog.Share) bool { return s.Service == c.service }) {
+			c.maxWait = max(c.maxWait, maxWait(r))
+		}
+	}
+}
+
 // targetStart returns when a backend server must start for the answer to meet the
 // target latency, or zero if the route has none.
 func (c *call) targetStart() time.Time {
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -142,7 +142,7 @@
 	c := a.call
 	held := time.Since(a.started)
 	c.gateway.metrics.attemptTime[c.route.Kind].RecordDuration(held)
-	c.gateway.finishAttempt(c.service, a.assigned.Server, result, a.timeToFirst, held)
+	c.gateway.finishAttempt(c.service, c.size, a.assigned.Server, result, a.timeToFirst, held)
 	c.attemptLog = append(c.attemptLog, fmt.Sprintf("%s %s after %d ms: %s (running %d, others %d, cost %d ms, cold %t, age %d ms)",
 		a.assigned.Server.ID, result, held.Milliseconds(), detail, a.assigned.Running, a.assigned.PeerLoad, a.assigned.Cost.Milliseconds(), a.assigned.Cold,
 		a.started.Sub(a.assigned.Server.Received).Milliseconds()))
--- a/internal/coordination/gateway/attributes.go
+++ b/internal/coordination/gateway/attributes.go
@@ -77,11 +77,10 @@
 	return c.account.Name
 }
 
-// pickService sets the service of the call.
+// pickService sets the service of the call and what follows from it.
 func (c *call) pickService() {
 	c.service = c.route.PickService(c.gateway.randomFloat())
-	c.gateway.mu.Lock()
-	defer c.gateway.mu.Unlock()
-	spec, ok := c.gateway.view.Index.Service(c.service)
+	spec, ok := c.index.Service(c.service)
 	c.usesUrgency = ok && spec.Engine != nil && c.gateway.cfg.HeaderNames.Urgency != ""
+	c.setMaxWait(c.index)
 }
--- a/internal/coordination/gateway/attributes_test.go
+++ b/internal/coordination/gateway/attributes_test.go
@@ -156,3 +156,39 @@
 		t.Errorf("deadline %v, request id %v", lines[0]["deadline_ms"], lines[0]["request_id"])
 	}
 }
+
+// TestMaxWait guards against an urgent request that waits less long for a backend server
+// than a less urgent one of the same service, and against a wait that another service's
+// routes change.
+func TestMaxWait(t *testing.T) {
+	route := func(name, service string, priority int, target time.Duration) catalog.Route {
+		return catalog.Route{Name: name, Priority: priority, TargetLatency: target, Timeout: 8 * time.Second, Split: []catalog.Share{{Service: service, Weight: 1}}}
+	}
+	index := catalog.NewIndex(catalog.Catalog{Routes: []catalog.Route{
+		route("urgent", "pool", 0, 400*time.Millisecond), route("usual", "pool", 1, 300*time.Millisecond), route("patient", "pool", 2, 800*time.Millisecond),
+		route("only", "desk", 1, 300*time.Millisecond), route("untimed", "batch", 0, 0),
+	}})
+	number := func(n int) *int { return &n }
+	tests := map[string]struct {
+		route   int
+		account *catalog.ClientAccount
+		want    time.Duration
+	}{
+		"urgent":                 {route: 0, want: 1600 * time.Millisecond},
+		"between":                {route: 1, want: 1600 * time.Millisecond},
+		"patient":                {route: 2, want: 1600 * time.Millisecond},
+		"another service":        {route: 3, want: 600 * time.Millisecond},
+		"no target":              {route: 4, want: 2 * time.Second},
+		"account of low urgency": {route: 1, account: &catalog.ClientAccount{Priority: number(5)}, want: 600 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := &index.Catalog.Routes[test.route]
+			c := &call{gateway: &Gateway{}, route: r, service: r.Split[0].Service, account: test.account}
+			c.setMaxWait(index)
+			if c.maxWait != test.want {
+				t.Errorf("%v, want %v", c.maxWait, test.want)
+			}
+		})
+	}
+}
--- a/internal/coordination/gateway/call.go
+++ b/internal/coordination/gateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -35,6 +36,7 @@
 	arrived time.Time
 
 	id             string
+	index          *catalog.Index
 	catalogVersion uint64
 	route          *catalog.Route
 	parts          []string // of its prompt, those that others may share
@@ -42,6 +44,8 @@
 	account        *catalog.ClientAccount
 	deadline       time.Time // zero until it is known
 	size           size.Hint
+	// maxWait is how long the request waits for a backend server.
+	maxWait time.Duration
 	// usesUrgency says that the backend servers of the service order requests by the
 	// urgency header.
 	usesUrgency bool
@@ -136,12 +140,20 @@
 	case pool.Assign:
 		return c.attempt(ctx, d)
 	case pool.Refuse:
-		return c.fail(fault.New(d.Kind, "service %s: %s, %d waiting, %d running, expected wait %d ms",
-			c.service, d.Reason, d.Waiting, d.Running, d.ExpectedWait.Milliseconds()).WithRetryAfter(d.RetryAfter), d.Reason.String())
+		return c.fail(fault.New(d.Kind, "service %s: %s, %d waiting, %d running, %s",
+			c.service, d.Reason, d.Waiting, d.Running, describeWait(d)).WithRetryAfter(d.RetryAfter), d.Reason.String())
 	}
 	return c.contextEnded()
 }
 
+// describeWait tells how long a refused request would have waited.
+func describeWait(d pool.Refuse) string {
+	if d.NeverStarts {
+		return "no room is expected"
+	}
+	return fmt.Sprintf("expected wait %d ms", d.ExpectedWait.Milliseconds())
+}
+
 // contextEnded returns the outcome of a call whose caller has disconnected, whose
 // prompt has a quarantined part, or whose deadline has passed.
 func (c *call) contextEnded() outcome {
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -44,6 +44,7 @@
 	"oleanderrack.example/oleanderrack/internal/coordination/follower"
 	"oleanderrack.example/oleanderrack/internal/coordination/pool"
 	"oleanderrack.example/oleanderrack/internal/coordination/quarantine"
+	"oleanderrack.example/oleanderrack/internal/coordination/size"
 	"oleanderrack.example/oleanderrack/internal/protocol/backend"
 	"oleanderrack.example/oleanderrack/internal/transport/logging"
 	"oleanderrack.example/oleanderrack/pkg/fault"
@@ -323,10 +324,13 @@
 }
 
 // finishAttempt reports the end of an attempt to the pool.
-func (g *Gateway) finishAttempt(service string, to follower.Server, result pool.Result, timeToFirst, held time.Duration) {
+func (g *Gateway) finishAttempt(service string, hint size.Hint, to follower.Server, result pool.Result, timeToFirst, held time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.pool.Done(time.Now(), service, to.ID, to.StartedMS, result, timeToFirst, held)
+	if result == pool.Answered {
+		g.pool.RecordWork(service, hint, held)
+	}
 	g.deliverDecisions()
 }
 
--- /dev/null
+++ b/internal/coordination/pool/admission_test.go
@@ -0,0 +1,109 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"oleanderrack.example/oleanderrack/internal/coordination/size"
+)
+
+// newRequest returns the request of a caller as the gateway makes it.
+func (p *player) newRequest(now time.Time, c *loadCaller) *Request {
+	kind := &p.kinds[c.kind]
+	wait := time.Duration(0)
+	for i := range p.kinds {
+		if p.kinds[i].priority >= kind.priority {
+			wait = max(wait, min(2*p.kinds[i].targetFirst, loadDeadline/4))
+		}
+	}
+	latest := now.Add(wait)
+	if latest.After(c.deadline) {
+		latest = c.deadline
+	}
+	return &Request{
+		Service: "pool", Priority: kind.priority, Arrived: now, LatestStart: latest, TargetGap: loadGapTarget,
+		TargetStart: now.Add(max(kind.targetFirst/4, kind.targetFirst-p.pools[c.entry].MeanTimeToFirstAnswer("pool"))),
+		ID:          c.id, Kind: kind.name, ClientAccount: string(rune('a' + c.account)), Size: c.hint, Deadline: c.deadline,
+	}
+}
+
+func recordWork(p *Pool, h size.Hint, held time.Duration) { p.RecordWork("pool", h, held) }
+
+func isDisplaced(r *Request) bool { return r.displaced }
+
+// loads are the loads that are played, and the least worth of what callers must get of
+// it. The figures of the code before are in docs/design/admission-by-value.md.
+var loads = map[string]struct {
+	change func(l *load)
+	least  float64
+}{
+	"calm":        {func(l *load) { l.shiftEvery = 0 }, 0.99},
+	"usual":       {func(l *load) {}, 0.97},
+	"bursts":      {func(l *load) { *l = l.withBursts() }, 0.9},
+	"heavy":       {func(l *load) { heavy(l) }, 0.65},
+	"heavy burst": {func(l *load) { heavy(l); *l = l.withBursts() }, 0.59},
+	"two groups":  {func(l *load) { l.groups = 2 }, 0.74},
+	"two, bursts": {func(l *load) { l.groups = 2; *l = l.withBursts() }, 0.68},
+	"two, heavy":  {func(l *load) { heavy(l); l.groups = 2 }, 0.46},
+	"outage":      {func(l *load) { l.outageAt, l.outageFor = 4*time.Second, 3*time.Second }, 0.77},
+	"ignoring":    {func(l *load) { l.groups, l.ignoreShare = 2, 0.2; *l = l.withBursts() }, 0.68},
+	"leaving": {func(l *load) {
+		l.groups, l.leaveShare, l.leaveAfter = 2, 0.2, 600*time.Millisecond
+		*l = l.withBursts()
+	}, 0.69},
+}
+
+// playSeeds plays a load with several seeds and returns the mean worth and the sums of
+// what callers of each kind got.
+func playSeeds(l load, seeds uint64) (worth float64, sums []tally, last *player) {
+	sums = make([]tally, len(l.kinds))
+	for seed := range seeds {
+		l.seed = seed + 1
+		last = play(l)
+		worth += last.worth() / float64(seeds)
+		for i, got := range last.tallies {
+			sums[i].add(got)
+		}
+	}
+	return worth, sums, last
+}
+
+// TestCallers plays the loads of the heaviest day and guards against callers that get
+// less than they can: urgent ones that get less than others, refusals of an urgent one
+// while a less urgent one waits, refusals while most slots are free, and large requests
+// that are served less than half as often as others.
+func TestCallers(t *testing.T) {
+	for name, test := range loads {
+		t.Run(name, func(t *testing.T) {
+			l := ferreira()
+			test.change(&l)
+			worth, sums, _ := playSeeds(l, 4)
+			t.Logf("%-11s worth %.3f", name, worth)
+			for i := range sums {
+				got := &sums[i]
+				t.Logf("%-11s %-7s %v", name, l.kinds[i].name, got)
+				if i > 0 && got.credit() > sums[i-1].credit()+0.02 {
+					t.Errorf("%s gets %.3f, less urgent ones %.3f", l.kinds[i-1].name, sums[i-1].credit(), got.credit())
+				}
+				if got.idleRefusals > 0 {
+					t.Errorf("%s: %d refusals while most slots were free", l.kinds[i].name, got.idleRefusals)
+				}
+				if got.unfair*50 > got.submitted {
+					t.Errorf("%s: %d of %d refused while a less urgent one waited", l.kinds[i].name, got.unfair, got.submitted)
+				}
+				all := 0
+				for class := range got.bySize {
+					all += got.servedBySize[class]
+				}
+				for class, n := range got.bySize {
+					if share := float64(got.servedBySize[class]) / float64(n); 2*share < float64(all)/float64(got.submitted) {
+						t.Errorf("%s: %.2f of size class %d are served, %.2f of all", l.kinds[i].name, share, class, float64(all)/float64(got.submitted))
+					}
+				}
+			}
+			if worth < test.least {
+				t.Errorf("worth %.3f, want at least %.3f", worth, test.least)
+			}
+		})
+	}
+}
--- a/internal/coordination/pool/decision.go
+++ b/internal/coordination/pool/decision.go
@@ -38,6 +38,15 @@
 
 	sequence uint64
 	late     bool // TargetStart has passed
+	prepared bool // the figures below are set
+	// latest is LatestStart, or the last start from which the answer can be complete by
+	// the deadline if that is earlier.
+	latest time.Time
+	// work is the estimated time at a backend server relative to the mean of the
+	// service, and tag the place among the client accounts.
+	work, tag float64
+	queued    bool // has been in the queue
+	displaced bool // another request takes its place
 }
 
 // Decision is the answer to a request: Assign, Wait or Refuse.
@@ -72,6 +81,9 @@
 	// time since its arrival.
 	Waiting, Running int
 	ExpectedWait     time.Duration
+	// NeverStarts says that no wait can be estimated, because others would always go
+	// first. ExpectedWait is 0 then.
+	NeverStarts bool
 }
 
 func (Assign) isDecision() {}
@@ -89,6 +101,7 @@
 	WaitTimedOut               // waited_out
 	RetryBudget                // retry_budget
 	AllClosed                  // all_closed
+	Displaced                  // displaced
 )
 
 // Result says how a request ended at a backend server.
--- a/internal/coordination/pool/pool.go
+++ b/internal/coordination/pool/pool.go
@@ -41,7 +41,6 @@
 
 	"oleanderrack.example/oleanderrack/internal/coordination/follower"
 	"oleanderrack.example/oleanderrack/pkg/catalog"
-	"oleanderrack.example/oleanderrack/pkg/fault"
 )
 
 //go:generate go tool stringer -type=Reason,Result,State,SubjectKind -linecomment -output=pool_string.go
@@ -182,124 +181,6 @@
 	return loads
 }
 
-// Submit decides on a new request, or on one that is submitted again after an
-// attempt has ended.
-func (p *Pool) Submit(now time.Time, r *Request) Decision {
-	svc := p.service(r.Service)
-	if r.IsRetry && !svc.mayRetry(now, p.cfg, p.entries) {
-		return svc.refuse(now, r, fault.RetryBudgetSpent, RetryBudget, 0, p.entries)
-	}
-	r.updateLate(now)
-	if !r.late {
-		svc.onTimeArrivals.add(now)
-	}
-	ahead := svc.ahead(r)
-	if ahead == 0 && (!r.late || p.mayStartLate(now, svc, r)) {
-		switch c := p.choose(now, svc, r).(type) {
-		case Assign:
-			p.assign(now, svc, r, c)
-			return c
-		case Refuse:
-			return c
-		}
-	}
-	expected := svc.expectedWait(now, r, ahead, p.entries)
-	if !now.Add(expected).Before(r.LatestStart) {
-		return svc.refuse(now, r, fault.Overloaded, QueueTooLong, expected, p.entries)
-	}
-	p.lastSequence++
-	r.sequence = p.lastSequence
-	svc.enqueue(r)
-	return Wait{Ahead: ahead, ExpectedWait: expected}
-}
-
-// CanRetry reports whether a request that waits for a silent backend server would
-// get another one now. Otherwise its attempt is worth more than its place in a
-// queue: silence under load is mostly that of a backend server that is still busy.
-func (p *Pool) CanRetry(now time.Time, r *Request) bool {
-	svc := p.service(r.Service)
-	if !svc.mayRetry(now, p.cfg, p.entries) {
-		return false
-	}
-	r.updateLate(now)
-	if svc.ahead(r) > 0 || (r.late && !p.mayStartLate(now, svc, r)) {
-		return false
-	}
-	_, ok := p.choose(now, svc, r).(Assign)
-	return ok
-}
-
-// CancelWait removes a request that its caller has abandoned from the queue.
-func (p *Pool) CancelWait(r *Request) { p.service(r.Service).remove(r) }
-
-// DecideQueued ends the wait of the queued requests that now have a backend
-// server, and of those that can no longer be served in time.
-func (p *Pool) DecideQueued(now time.Time) []QueuedDecision {
-	var decisions []QueuedDecision
-	for _, svc := range p.services {
-		decisions = p.decideQueue(now, svc, decisions)
-	}
-	return decisions
-}
-
-func (p *Pool) decideQueue(now time.Time, svc *service, decisions []QueuedDecision) []QueuedDecision {
-	newlyLate := svc.reorder(now)
-	kept := svc.queue[:0]
-	full := false
-	for i, r := range svc.queue {
-		if refusal, ok := p.refuseQueued(now, svc, r, i, newlyLate); ok {
-			decisions = append(decisions, QueuedDecision{Request: r, Decision: refusal})
-			continue
-		}
-		if !full && (!r.late || p.mayStartLate(now, svc, r)) {
-			switch c := p.choose(now, svc, r).(type) {
-			case Assign:
-				p.assign(now, svc, r, c)
-				decisions = append(decisions, QueuedDecision{Request: r, Decision: c})
-				continue
-			case Refuse:
-				decisions = append(decisions, QueuedDecision{Request: r, Decision: c})
-				continue
-			}
-			full = true
-		}
-		kept = append(kept, r)
-	}
-	clear(svc.queue[len(kept):])
-	svc.queue = kept
-	return decisions
-}
-
-// refuseQueued refuses a request that has reached its LatestStart. One in
-// newlyLate, which can no longer be served on time, is refused at once if it
-// would not start by then, as those that can be served on time go before it.
-func (p *Pool) refuseQueued(now time.Time, svc *service, r *Request, ahead int, newlyLate map[*Request]bool) (Refuse, bool) {
-	if !now.Before(r.LatestStart) {
-		return svc.refuse(now, r, fault.Overloaded, WaitTimedOut, now.Sub(r.Arrived), p.entries), true
-	}
-	if !newlyLate[r] {
-		return Refuse{}, false
-	}
-	expected := svc.expectedWait(now, r, ahead, p.entries)
-	if now.Add(expected).Before(r.LatestStart) {
-		return Refuse{}, false
-	}
-	return svc.refuse(now, r, fault.Overloaded, QueueTooLong, expected, p.entries), true
-}
-
-func (p *Pool) assign(now time.Time, svc *service, r *Request, a Assign) {
-	s := p.servers[a.Server.ID]
-	s.inFlight++
-	s.lastSent = now
-	if a.Cold {
-		s.coldSends = append(s.coldSends, now)
-	}
-	if r.late {
-		svc.lateStarts.add(now)
-	}
-	svc.countAttempt(now, r.IsRetry)
-}
-
 // Done records the end of a request at the incarnation of a backend server that
 // started at startedMS. timeToFirst is the time to its first answer, or 0 if there
 // was none.
--- a/internal/coordination/pool/pool_string.go
+++ b/internal/coordination/pool/pool_string.go
@@ -14,11 +14,12 @@
 	_ = x[WaitTimedOut-3]
 	_ = x[RetryBudget-4]
 	_ = x[AllClosed-5]
+	_ = x[Displaced-6]
 }
 
-const _Reason_name = "no_serverall_avoidedqueue_too_longwaited_outretry_budgetall_closed"
+const _Reason_name = "no_serverall_avoidedqueue_too_longwaited_outretry_budgetall_closeddisplaced"
 
-var _Reason_index = [...]uint8{0, 9, 20, 34, 44, 56, 66}
+var _Reason_index = [...]uint8{0, 9, 20, 34, 44, 56, 66, 75}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/internal/coordination/pool/service.go
+++ b/internal/coordination/pool/service.go
@@ -1,8 +1,7 @@
 package pool
 
 import (
-	"cmp"
-	"slices"
+	"math"
 	"time"
 
 	"oleanderrack.example/oleanderrack/pkg/catalog"
@@ -39,10 +38,13 @@
 	queue           []*Request    // in the order of compareRequests
 	meanTimeToFirst time.Duration // mean time from sending to the first answer
 	meanHeld        time.Duration
-	onTimeArrivals  window // new requests that could be served on time
-	lateStarts      window // requests that started too late to be served on time
+	onTimeArrivals  priorityWindows // new requests that could be served on time
+	lateStarts      priorityWindows // requests that started too late to be served on time
 	firstAttempts   window
 	retries         window
+	sizes           workModel
+	shares          map[int]*accountShares // by priority
+	classes         classes
 }
 
 func (s *service) setSpec(spec *catalog.Service, ok bool) {
@@ -67,102 +69,6 @@
 	return mean + time.Duration(meanWeight*float64(value-mean))
 }
 
-// enqueue inserts a request in the order of compareRequests.
-func (s *service) enqueue(r *Request) {
-	at, _ := slices.BinarySearchFunc(s.queue, r, compareRequests)
-	s.queue = slices.Insert(s.queue, at, r)
-}
-
-// reorder sorts the queue again if requests can no longer be served on time,
-// and returns these.
-func (s *service) reorder(now time.Time) map[*Request]bool {
-	var newlyLate map[*Request]bool
-	for _, r := range s.queue {
-		if r.updateLate(now) {
-			if newlyLate == nil {
-				newlyLate = map[*Request]bool{}
-			}
-			newlyLate[r] = true
-		}
-	}
-	if newlyLate != nil {
-		slices.SortFunc(s.queue, compareRequests)
-	}
-	return newlyLate
-}
-
-// updateLate marks a request that can no longer be served on time, and reports
-// whether it has just become late.
-func (r *Request) updateLate(now time.Time) bool {
-	if r.late || r.TargetStart.IsZero() || now.Before(r.TargetStart) {
-		return false
-	}
-	r.late = true
-	return true
-}
-
-// compareRequests orders requests by priority, then those that can be served on
-// time before the others, then by arrival.
-func compareRequests(a, b *Request) int {
-	switch {
-	case a.Priority != b.Priority:
-		return a.Priority - b.Priority
-	case a.late != b.late && b.late:
-		return -1
-	case a.late != b.late:
-		return 1
-	}
-	if c := a.Arrived.Compare(b.Arrived); c != 0 {
-		return c
-	}
-	return cmp.Compare(a.sequence, b.sequence)
-}
-
-func (s *service) remove(r *Request) {
-	if i := slices.Index(s.queue, r); i >= 0 {
-		s.queue = slices.Delete(s.queue, i, i+1)
-	}
-}
-
-// ahead returns the number of waiting requests that go before r, which has just
-// arrived.
-func (s *service) ahead(r *Request) int {
-	n := 0
-	for _, w := range s.queue {
-		if w.Priority < r.Priority || (w.Priority == r.Priority && (r.late || !w.late)) {
-			n++
-		}
-	}
-	return n
-}
-
-// expectedWait is the time until the requests ahead of r and r itself have got a
-// slot, at the throughput of this entry's own requests or of its even share of all,
-// whichever is higher: an entry that sends few requests cannot measure the
-// throughput from its own. A request that cannot be served on time also waits for
-// future arrivals that can.
-func (s *service) expectedWait(now time.Time, r *Request, ahead, entries int) time.Duration {
-	if len(s.queue) >= maxQueue {
-		return unservableWait
-	}
-	own, all := s.running()
-	running := max(float64(own), float64(all)/float64(entries))
-	held := s.expectedHold()
-	if running == 0 || held == 0 {
-		return 0
-	}
-	throughput := running / held.Seconds()
-	wait := seconds(float64(ahead+1) / throughput)
-	if r.TargetStart.IsZero() || (!r.late && now.Add(wait).Before(r.TargetStart)) {
-		return wait
-	}
-	throughput -= float64(s.onTimeArrivals.sum(now, arrivalWindow)) / arrivalWindow.Seconds()
-	if throughput <= 0 {
-		return unservableWait
-	}
-	return seconds(float64(ahead+1) / throughput)
-}
-
 // expectedHold is how long a backend server holds a request: the mean of those
 // that have ended, or the time given by the catalog as long as there is none.
 func (s *service) expectedHold() time.Duration {
@@ -189,9 +95,10 @@
 func (p *Pool) mayStartLate(now time.Time, svc *service, r *Request) bool {
 	slots, hold := p.capacity(now, svc, r.TargetGap)
 	// Within the time that a request is held, every slot becomes free once.
-	needed := float64(svc.onTimeArrivals.sum(now, arrivalWindow)) / arrivalWindow.Seconds() * hold.Seconds()
+	// Slots are not kept for requests that are less urgent.
+	needed := svc.arrivalRate(now, r.Priority) * hold.Seconds()
 	spare := float64(slots)*svc.slotShare(p.entries) - needed
-	return float64(svc.lateStarts.sum(now, hold)) < spare
+	return float64(svc.lateStarts.sum(now, hold, minPriority, r.Priority)) < spare
 }
 
 // slotShare is this entry's part of all slots: its part of the requests that are
@@ -246,8 +153,13 @@
 	own, _ := s.running()
 	// The time after which the current queue should be served.
 	retryAfter := s.expectedWait(now, r, len(s.queue), entries)
+	neverStarts := expected >= unservableWait
+	if neverStarts {
+		expected = 0
+	}
 	return Refuse{
-		Kind: kind, Reason: reason, RetryAfter: min(maxRetryAfter, max(minRetryAfter, retryAfter)),
+		NeverStarts: neverStarts,
+		Kind:        kind, Reason: reason, RetryAfter: min(maxRetryAfter, max(minRetryAfter, retryAfter)),
 		Waiting: len(s.queue), Running: own, ExpectedWait: expected,
 	}
 }
@@ -297,3 +209,36 @@
 	}
 	return total
 }
+
+// minPriority is that of the most urgent requests.
+const minPriority = math.MinInt
+
+// priorityWindows counts requests over time, by priority.
+type priorityWindows map[int]*window
+
+func (w *priorityWindows) add(now time.Time, priority int) {
+	if *w == nil {
+		*w = priorityWindows{}
+	}
+	if (*w)[priority] == nil {
+		(*w)[priority] = &window{}
+	}
+	(*w)[priority].add(now)
+}
+
+// sum returns the number of requests from one priority to another within a time.
+func (w priorityWindows) sum(now time.Time, length time.Duration, from, to int) int {
+	total := 0
+	for priority, counts := range w {
+		if from <= priority && priority <= to {
+			total += counts.sum(now, length)
+		}
+	}
+	return total
+}
+
+// rate returns the requests per second from one priority to another in the last
+// arrivalWindow.
+func (w priorityWindows) rate(now time.Time, from, to int) float64 {
+	return float64(w.sum(now, arrivalWindow, from, to)) / arrivalWindow.Seconds()
+}
