--- a/internal/coordination/pool/admission_test.go
+++ b/internal/coordination/pool/admission_test.go
@@ -29,6 +29,10 @@
 
 func recordWork(p *Pool, h size.Hint, held time.Duration) { p.RecordWork("pool", h, held) }
 
+// urgency is the urgency header of a request at an engine, which admits more urgent
+// requests first.
+func (p *player) urgency(c *loadCaller) int { return p.kinds[c.kind].priority }
+
 func isDisplaced(r *Request) bool { return r.displaced }
 
 // loads are the loads that are played, and the least worth of what callers must get of
@@ -77,8 +81,8 @@
 		t.Run(name, func(t *testing.T) {
 			l := ferreira()
 			test.change(&l)
-			worth, sums, _ := playSeeds(l, 4)
-			t.Logf("%-11s worth %.3f", name, worth)
+			worth, sums, last := playSeeds(l, 4)
+			t.Logf("%-11s worth %.3f, %d of %d passes slow, %.2f of the slots taken", name, worth, last.slowPasses, last.passes, last.taken/last.usable)
 			for i := range sums {
 				got := &sums[i]
 				t.Logf("%-11s %-7s %v", name, l.kinds[i].name, got)
--- a/internal/coordination/pool/callers_test.go
+++ b/internal/coordination/pool/callers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"oleanderrack.example/oleanderrack/internal/coordination/size"
@@ -77,7 +78,12 @@
 	case Assign:
 		delete(p.requests, c.request)
 		c.server, c.sentAt, c.unread = p.ranks[d.Server.ID], now, float64(c.prompt)
-		c.server.waiting = append(c.server.waiting, c)
+		w := c.server.waiting
+		at := len(w)
+		for at > 0 && p.urgency(w[at-1]) > p.urgency(c) {
+			at--
+		}
+		c.server.waiting = slices.Insert(w, at, c)
 	case Refuse:
 		delete(p.requests, c.request)
 		p.refused(now, c, d)
--- a/internal/coordination/pool/load_test.go
+++ b/internal/coordination/pool/load_test.go
@@ -89,7 +89,10 @@
 
 // tally counts what callers of one kind got.
 type tally struct {
-	submitted, onTime, late, refused, broken, left int
+	submitted, onTime, late, refused, left int
+	// lateFirst are the late ones whose first event was late, lateResent those of them
+	// that were sent again.
+	lateFirst, lateResent int
 	// resent counts the refused requests that were sent again when they were told to,
 	// and resentRefused those of them that were refused again.
 	resent, resentRefused int
@@ -114,8 +117,8 @@
 }
 
 func (t *tally) String() string {
-	return fmt.Sprintf("%d: %.3f, %d on time, %d late, %d refused, %d left, %d gave up, %d resent, %d of them refused, %d idle refusals, %d unfair",
-		t.submitted, t.credit(), t.onTime, t.late, t.refused, t.left, t.gaveUp, t.resent, t.resentRefused, t.idleRefusals, t.unfair)
+	return fmt.Sprintf("%d: %.3f, %d on time, %d late (%d first, %d resent), %d refused, %d left, %d gave up, %d resent, %d of them refused, %d idle refusals, %d unfair",
+		t.submitted, t.credit(), t.onTime, t.late, t.lateFirst, t.lateResent, t.refused, t.left, t.gaveUp, t.resent, t.resentRefused, t.idleRefusals, t.unfair)
 }
 
 // loadCaller is one request of a caller, over all its tries.
@@ -181,6 +184,8 @@
 	retryAfter map[time.Duration]int
 	// maxGapShare is the share of passes above the target gap.
 	passes, slowPasses int
+	// taken sums the taken slots over time, usable all slots.
+	taken, usable float64
 }
 
 func newPlayer(l load) *player {
@@ -302,6 +307,12 @@
 		p.slowPasses++
 	}
 	g.passEnds = g.passEnds.Add(length)
+	if at < p.length {
+		for _, r := range g.ranks {
+			p.taken += length.Seconds() * float64(len(r.running))
+			p.usable += length.Seconds() * float64(e.Slots)
+		}
+	}
 }
 
 // endPass gives each stream of a group its event.
@@ -331,6 +342,7 @@
 	if c.got++; c.got == 1 {
 		c.firstAt = now
 		c.late = now.Sub(c.arrived) > kind.targetFirst
+		q.SetServerLoad(now, r.id, len(r.running)+len(r.waiting))
 		q.RecordEvent(now, r.id, now.Sub(c.sentAt), 0)
 	} else {
 		gap := now.Sub(c.lastAt)
@@ -353,6 +365,12 @@
 		worth = 0
 	case c.late:
 		t.late++
+		if c.firstAt.Sub(c.arrived) > kind.targetFirst {
+			t.lateFirst++
+			if c.tries > 1 {
+				t.lateResent++
+			}
+		}
 		worth = loadLateWorth
 	default:
 		t.onTime++
@@ -419,6 +437,8 @@
 	t.submitted += o.submitted
 	t.onTime += o.onTime
 	t.late += o.late
+	t.lateFirst += o.lateFirst
+	t.lateResent += o.lateResent
 	t.refused += o.refused
 	t.left += o.left
 	t.resent += o.resent
