pool: refused callers are told when there will be room for them

The time now follows from the requests that wait or are expected back, up to the priority of the refused one, at the rate that new ones leave free; where that is more than its caller would wait, it is spread over the second half of a third of the remaining time. Expected returns count as demand. A request that comes back to the same entry when it was told goes before newcomers of its priority, one that comes too early goes after them and keeps its time.

--- a/internal/coordination/pool/decision.go
+++ b/internal/coordination/pool/decision.go
@@ -47,6 +47,10 @@
 	work, tag float64
 	queued    bool // has been in the queue
 	displaced bool // another request takes its place
+	// returning says that a refused request comes back when it was told to, and due
+	// when it should have come if it is too early.
+	returning bool
+	due       time.Time
 }
 
 // Decision is the answer to a request: Assign, Wait or Refuse.
--- a/internal/coordination/pool/load_test.go
+++ b/internal/coordination/pool/load_test.go
@@ -117,8 +117,9 @@
 }
 
 func (t *tally) String() string {
-	return fmt.Sprintf("%d: %.3f, %d on time, %d late (%d first, %d resent), %d refused, %d left, %d gave up, %d resent, %d of them refused, %d idle refusals, %d unfair",
-		t.submitted, t.credit(), t.onTime, t.late, t.lateFirst, t.lateResent, t.refused, t.left, t.gaveUp, t.resent, t.resentRefused, t.idleRefusals, t.unfair)
+	return fmt.Sprintf("%d: %.3f, %d on time, %d late (%d first, %d resent), %d refused, %d left, %d gave up, %d resent, %d of them refused, %d idle refusals, %d unfair; obeying %.3f, ignoring %.3f",
+		t.submitted, t.credit(), t.onTime, t.late, t.lateFirst, t.lateResent, t.refused, t.left, t.gaveUp, t.resent, t.resentRefused, t.idleRefusals, t.unfair,
+		t.obeyingCredit/float64(max(1, t.submitted-t.ignored)), t.ignoredCredit/float64(max(1, t.ignored)))
 }
 
 // loadCaller is one request of a caller, over all its tries.
--- a/internal/coordination/pool/queue.go
+++ b/internal/coordination/pool/queue.go
@@ -103,24 +103,47 @@
 	return true
 }
 
-// compareRequests orders requests by priority, then those that can be served on
-// time before the others, then by the shares of client accounts, then by arrival.
+// compareRequests orders requests by priority, then those that come back when they
+// were told to before the others and those that come too early after them, then those
+// that can be served on time, then by the shares of client accounts, then by arrival.
 func compareRequests(a, b *Request) int {
+	if c := compareClasses(a, b); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.tag, b.tag); c != 0 {
+		return c
+	}
+	if c := a.Arrived.Compare(b.Arrived); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.sequence, b.sequence)
+}
+
+// compareClasses orders requests without regard to accounts and arrival.
+func compareClasses(a, b *Request) int {
 	switch {
 	case a.Priority != b.Priority:
 		return a.Priority - b.Priority
+	case a.turn() != b.turn():
+		return a.turn() - b.turn()
 	case a.late != b.late && b.late:
 		return -1
 	case a.late != b.late:
 		return 1
 	}
-	if c := cmp.Compare(a.tag, b.tag); c != 0 {
-		return c
-	}
-	if c := a.Arrived.Compare(b.Arrived); c != 0 {
-		return c
+	return 0
+}
+
+// turn is -1 for a request that comes back when it was told to, 1 for one that comes
+// too early, and 0 for others.
+func (r *Request) turn() int {
+	switch {
+	case r.returning:
+		return -1
+	case !r.due.IsZero():
+		return 1
 	}
-	return cmp.Compare(a.sequence, b.sequence)
+	return 0
 }
 
 func (s *service) remove(r *Request) {
@@ -138,16 +161,7 @@
 		if w.displaced {
 			continue
 		}
-		switch {
-		case w.Priority != r.Priority:
-			if w.Priority < r.Priority {
-				n++
-			}
-		case w.late != r.late:
-			if r.late {
-				n++
-			}
-		case w.tag <= r.tag:
+		if c := compareClasses(w, r); c < 0 || (c == 0 && w.tag <= r.tag) {
 			n++
 		}
 	}
@@ -164,13 +178,10 @@
 	if len(s.queue) >= maxQueue && !s.hasLessUrgent(r) {
 		return unservableWait
 	}
-	own, all := s.running()
-	running := max(float64(own), float64(all)/float64(entries))
-	held := s.expectedHold()
-	if running == 0 || held == 0 {
+	throughput := s.throughput(entries)
+	if throughput == 0 {
 		return 0
 	}
-	throughput := running / held.Seconds()
 	wait := seconds(float64(ahead+1) / throughput)
 	throughput -= s.arrivalRate(now, r.Priority-1)
 	if throughput <= 0 {
@@ -189,15 +200,26 @@
 	return seconds(float64(ahead+1) / throughput)
 }
 
+// throughput returns the requests per second that are finished, or 0 if it is not known.
+func (s *service) throughput(entries int) float64 {
+	own, all := s.running()
+	held := s.expectedHold()
+	if held == 0 {
+		return 0
+	}
+	return max(float64(own), float64(all)/float64(entries)) / held.Seconds()
+}
+
 // hasLessUrgent reports whether a less urgent request than r waits.
 func (s *service) hasLessUrgent(r *Request) bool {
 	return len(s.queue) > 0 && s.queue[len(s.queue)-1].Priority > r.Priority
 }
 
 // arrivalRate is the rate of new requests up to a priority that could be served on
-// time.
+// time, with the refused ones that are expected back.
 func (s *service) arrivalRate(now time.Time, priority int) float64 {
-	return s.onTimeArrivals.rate(now, minPriority, priority)
+	returns := float64(s.returns.pending(now, priority, returnHorizon)) / returnHorizon.Seconds()
+	return s.onTimeArrivals.rate(now, minPriority, priority) + returns
 }
 
 // patience tells until when queued requests wait.
--- a/internal/coordination/pool/service.go
+++ b/internal/coordination/pool/service.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"oleanderrack.example/oleanderrack/pkg/catalog"
-	"oleanderrack.example/oleanderrack/pkg/fault"
 )
 
 const (
@@ -25,8 +24,8 @@
 	// unservableWait bounds the expected wait. It is that of a request that is
 	// always overtaken by others, and of any request while the queue is full.
 	unservableWait = time.Hour
-	// minRetryAfter and maxRetryAfter bound the retry delay returned to refused
-	// callers.
+	// minRetryAfter is the least retry delay returned to refused callers, and
+	// maxRetryAfter the longest one to callers without a deadline.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
 )
@@ -45,6 +44,7 @@
 	sizes           workModel
 	shares          map[int]*accountShares // by priority
 	classes         classes
+	returns         returnSchedule
 }
 
 func (s *service) setSpec(spec *catalog.Service, ok bool) {
@@ -148,22 +148,6 @@
 	return own, all
 }
 
-// refuse returns a refusal with the figures that led to it.
-func (s *service) refuse(now time.Time, r *Request, kind fault.Kind, reason Reason, expected time.Duration, entries int) Refuse {
-	own, _ := s.running()
-	// The time after which the current queue should be served.
-	retryAfter := s.expectedWait(now, r, len(s.queue), entries)
-	neverStarts := expected >= unservableWait
-	if neverStarts {
-		expected = 0
-	}
-	return Refuse{
-		NeverStarts: neverStarts,
-		Kind:        kind, Reason: reason, RetryAfter: min(maxRetryAfter, max(minRetryAfter, retryAfter)),
-		Waiting: len(s.queue), Running: own, ExpectedWait: expected,
-	}
-}
-
 func (s *service) countAttempt(now time.Time, isRetry bool) {
 	if isRetry {
 		s.retries.add(now)
--- a/internal/coordination/pool/submit.go
+++ b/internal/coordination/pool/submit.go
@@ -22,8 +22,11 @@
 	svc := p.service(r.Service)
 	svc.sizes.offered(svc.spec.Engine, r.Size)
 	svc.prepare(r)
+	if !r.IsRetry {
+		r.returning, r.due = svc.returns.isReturning(now, r)
+	}
 	if r.IsRetry && !svc.mayRetry(now, p.cfg, p.entries) {
-		return svc.refuse(now, r, fault.RetryBudgetSpent, RetryBudget, 0, p.entries)
+		return p.refuse(now, svc, r, fault.RetryBudgetSpent, RetryBudget, 0)
 	}
 	r.updateLate(now)
 	if !r.late {
@@ -36,7 +39,7 @@
 			p.assign(now, svc, r, c)
 			return c
 		case Refuse:
-			return c
+			return p.refuseWithout(now, svc, r, c)
 		}
 	}
 	expected := svc.expectedWait(now, r, ahead, p.entries)
@@ -49,7 +52,7 @@
 	case now.Before(r.latest) && svc.displaceLessUrgent(r):
 	default:
 		svc.classes.count(r, false)
-		return svc.refuse(now, r, fault.Overloaded, QueueTooLong, expected, p.entries)
+		return p.refuse(now, svc, r, fault.Overloaded, QueueTooLong, expected)
 	}
 	if len(svc.queue) >= maxQueue {
 		svc.displaceLessUrgent(r)
@@ -119,7 +122,7 @@
 				continue
 			case Refuse:
 				svc.dropped(r)
-				decisions = append(decisions, QueuedDecision{Request: r, Decision: c})
+				decisions = append(decisions, QueuedDecision{Request: r, Decision: p.refuseWithout(now, svc, r, c)})
 				continue
 			}
 			full = true
@@ -137,10 +140,10 @@
 // for one behind more urgent requests.
 func (p *Pool) refuseQueued(now time.Time, svc *service, r *Request, ahead int, until time.Time, expects bool) (Refuse, bool) {
 	if r.displaced {
-		return svc.refuse(now, r, fault.Overloaded, Displaced, now.Sub(r.Arrived), p.entries), true
+		return p.refuse(now, svc, r, fault.Overloaded, Displaced, now.Sub(r.Arrived)), true
 	}
 	if !now.Before(until) {
-		return svc.refuse(now, r, fault.Overloaded, WaitTimedOut, now.Sub(r.Arrived), p.entries), true
+		return p.refuse(now, svc, r, fault.Overloaded, WaitTimedOut, now.Sub(r.Arrived)), true
 	}
 	if !expects {
 		return Refuse{}, false
@@ -153,7 +156,7 @@
 	if expected < left || svc.displaceLessUrgent(r) {
 		return Refuse{}, false
 	}
-	return svc.refuse(now, r, fault.Overloaded, QueueTooLong, expected, p.entries), true
+	return p.refuse(now, svc, r, fault.Overloaded, QueueTooLong, expected), true
 }
 
 func (p *Pool) assign(now time.Time, svc *service, r *Request, a Assign) {
