--- a/internal/coordination/gateway/admit.go
+++ b/internal/coordination/gateway/admit.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -38,6 +39,8 @@
 // admit finds the route, authenticates the caller, sets the deadline and reads the
 // body.
 func (c *call) admit() *fault.Error {
+	headerNames := &c.gateway.cfg.HeaderNames
+	c.id = c.request.Header.Get(headerNames.RequestID)
 	view := c.gateway.currentView(c.request.Context())
 	if view == nil {
 		return fault.New(fault.Unavailable, "no catalog received yet").WithRetryAfter(admitRetryAfter)
@@ -45,14 +48,13 @@
 	if c.gateway.isStale(c.arrived) {
 		return fault.New(fault.NoLease, "no contact with a quorum of registrars").WithRetryAfter(admitRetryAfter)
 	}
-	c.catalogVersion = view.Index.Catalog.Version
+	c.index, c.catalogVersion = view.Index, view.Index.Catalog.Version
 	path, _, _ := strings.Cut(c.target(), "?")
 	route, ok := view.Index.Route(c.request.Host, path)
 	if !ok {
 		return fault.New(fault.NotFound, "no route for host %q and path %q", c.request.Host, path)
 	}
 	c.route = route
-	headerNames := &c.gateway.cfg.HeaderNames
 	if view.Index.NeedsKey(route) {
 		account, ok := view.Index.Account(c.request.Header.Get(headerNames.APIKey))
 		if !ok {
@@ -60,7 +62,6 @@
 		}
 		c.account = account
 	}
-	c.id = c.request.Header.Get(headerNames.RequestID)
 	if c.id == "" {
 		return fault.New(fault.BadRequest, "the request has no %s header", headerNames.RequestID)
 	}
@@ -68,6 +69,7 @@
 	if err := c.setDeadline(headerNames.DeadlineRemaining); err != nil {
 		return err
 	}
+	c.readSize()
 	if err := c.readBody(view.Index.Catalog.Limits.BodyBytes); err != nil {
 		return err
 	}
@@ -145,6 +147,9 @@
 	if c.account != nil {
 		header.Set(headerNames.ClientAccount, c.account.Name)
 	}
+	if c.usesUrgency {
+		header.Set(headerNames.Urgency, strconv.Itoa(urgency(c.priority())))
+	}
 	return &backend.Request{
 		Method: c.request.Method, Target: c.target(), Host: c.request.Host, ID: c.id,
 		Header: header, Body: c.body, HasBody: c.hasBody, NewConnection: !c.mayRepeat(),
@@ -162,17 +167,38 @@
 
 // poolRequest returns the request to the pool for the next attempt.
 func (c *call) poolRequest(now time.Time) *pool.Request {
-	wait := min(maxWaitLatencies*c.route.TargetLatency, c.route.Timeout/maxWaitTimeoutDivisor)
-	if c.route.TargetLatency == 0 {
-		wait = c.route.Timeout / maxWaitTimeoutDivisor
-	}
-	latestStart := now.Add(wait)
+	latestStart := now.Add(c.maxWait)
 	if latestStart.After(c.deadline) {
 		latestStart = c.deadline
 	}
 	return &pool.Request{
 		Service: c.service, Priority: c.priority(), Arrived: c.arrived, LatestStart: latestStart,
 		TargetStart: c.targetStart(), TargetGap: c.route.TargetGap, Tried: c.tried, IsRetry: c.sends > 0,
+		ID: c.id, Kind: c.route.Name, ClientAccount: c.accountName(), Size: c.size, Deadline: c.deadline,
+	}
+}
+
+// maxWait returns how long a request of a route waits for a backend server, by the
+// route's own target.
+func maxWait(r *catalog.Route) time.Duration {
+	wait := r.Timeout / maxWaitTimeoutDivisor
+	if r.TargetLatency > 0 {
+		wait = min(wait, maxWaitLatencies*r.TargetLatency)
+	}
+	return wait
+}
+
+// setMaxWait sets how long the request waits for a backend server: as its own target
+// demands, but not less than a less urgent request of the same service. Otherwise the
+// least urgent requests, whose targets are the longest, would be the last to be
+// refused.
+func (c *call) setMaxWait(index *catalog.Index) {
+	c.maxWait = maxWait(c.route)
+	for i := range index.Catalog.Routes {
+		r := &index.Catalog.Routes[i]
+		if r.Priority > c.priority() && slices.ContainsFunc(r.Split, func(s catalog.Share) bool { return s.Service == c.service }) {
+			c.maxWait = max(c.maxWait, maxWait(r))
+		}
 	}
 }
 
--- a/internal/coordination/gateway/call.go
+++ b/internal/coordination/gateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"oleanderrack.example/oleanderrack/internal/coordination/pool"
+	"oleanderrack.example/oleanderrack/internal/coordination/size"
 	"oleanderrack.example/oleanderrack/pkg/catalog"
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
@@ -34,15 +36,22 @@
 	arrived time.Time
 
 	id             string
+	index          *catalog.Index
 	catalogVersion uint64
 	route          *catalog.Route
 	parts          []string // of its prompt, those that others may share
 	service        string
 	account        *catalog.ClientAccount
-	deadline       time.Time
-	body           []byte
-	hasBody        bool
-	reserved       int64
+	deadline       time.Time // zero until it is known
+	size           size.Hint
+	// maxWait is how long the request waits for a backend server.
+	maxWait time.Duration
+	// usesUrgency says that the backend servers of the service order requests by the
+	// urgency header.
+	usesUrgency bool
+	body        []byte
+	hasBody     bool
+	reserved    int64
 
 	tried      []string
 	attemptLog []string // one element for each attempt
@@ -103,7 +112,7 @@
 	defer stopServing()
 	ctx, cancel := context.WithDeadline(serving, c.deadline)
 	defer cancel()
-	c.service = c.route.PickService(c.gateway.randomFloat())
+	c.pickService()
 	for {
 		if out := c.tryOnce(ctx); out != nil {
 			return out
@@ -142,12 +151,20 @@
 	case pool.Assign:
 		return c.attempt(ctx, d)
 	case pool.Refuse:
-		return c.fail(fault.New(d.Kind, "service %s: %s, %d waiting, %d running, expected wait %d ms",
-			c.service, d.Reason, d.Waiting, d.Running, d.ExpectedWait.Milliseconds()).WithRetryAfter(d.RetryAfter), d.Reason.String())
+		return c.fail(fault.New(d.Kind, "service %s: %s, %d waiting, %d running, %s",
+			c.service, d.Reason, d.Waiting, d.Running, describeWait(d)).WithRetryAfter(d.RetryAfter), d.Reason.String())
 	}
 	return c.contextEnded()
 }
 
+// describeWait tells how long a refused request would have waited.
+func describeWait(d pool.Refuse) string {
+	if d.NeverStarts {
+		return "no room is expected"
+	}
+	return fmt.Sprintf("expected wait %d ms", d.ExpectedWait.Milliseconds())
+}
+
 // contextEnded returns the outcome of a call whose caller has disconnected, whose
 // prompt has a quarantined part, or whose deadline has passed.
 func (c *call) contextEnded() outcome {
@@ -221,7 +238,10 @@
 			"waited_ms", c.waited.Milliseconds(), "first_ms", c.timeToFirst.Milliseconds(), "whole_ms", ended.Sub(c.arrived).Milliseconds(),
 			"attempts", c.attemptLog, "runs", c.possibleRuns}
 		if c.route != nil {
-			list = append(list, "route", c.route.Name, "deadline_ms", c.deadline.Sub(c.arrived).Milliseconds())
+			list = append(list, "route", c.route.Name)
+		}
+		if !c.deadline.IsZero() {
+			list = append(list, "deadline_ms", c.deadline.Sub(c.arrived).Milliseconds())
 		}
 		if c.account != nil {
 			list = append(list, "client_account", c.account.Name)
--- a/internal/coordination/pool/decision.go
+++ b/internal/coordination/pool/decision.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"oleanderrack.example/oleanderrack/internal/coordination/follower"
+	"oleanderrack.example/oleanderrack/internal/coordination/size"
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
 
@@ -21,6 +22,15 @@
 	// TargetGap is the longest acceptable time between two events of a stream, or
 	// 0 if there is no limit.
 	TargetGap time.Duration
+	// ID is the caller's id of the request, which a resend repeats, and Kind names
+	// the route.
+	ID, Kind string
+	// ClientAccount is the account that the request is for, or empty.
+	ClientAccount string
+	// Size is what the caller says about the work.
+	Size size.Hint
+	// Deadline is when the caller gives up; zero if it never does.
+	Deadline time.Time
 	// Tried holds the ids of backend servers that must not be chosen again.
 	Tried []string
 	// IsRetry reports whether the request was sent before.
@@ -28,6 +38,19 @@
 
 	sequence uint64
 	late     bool // TargetStart has passed
+	prepared bool // the figures below are set
+	// latest is LatestStart, or the last start from which the answer can be complete by
+	// the deadline if that is earlier.
+	latest time.Time
+	// work is the estimated time at a backend server relative to the mean of the
+	// service, and tag the place among the client accounts.
+	work, tag float64
+	queued    bool // has been in the queue
+	displaced bool // another request takes its place
+	// returning says that a refused request comes back when it was told to, and due
+	// when it should have come if it is too early.
+	returning bool
+	due       time.Time
 }
 
 // Decision is the answer to a request: Assign, Wait or Refuse.
@@ -62,6 +85,9 @@
 	// time since its arrival.
 	Waiting, Running int
 	ExpectedWait     time.Duration
+	// NeverStarts says that no wait can be estimated, because others would always go
+	// first. ExpectedWait is 0 then.
+	NeverStarts bool
 }
 
 func (Assign) isDecision() {}
@@ -79,6 +105,7 @@
 	WaitTimedOut               // waited_out
 	RetryBudget                // retry_budget
 	AllClosed                  // all_closed
+	Displaced                  // displaced
 )
 
 // Result says how a request ended at a backend server.
