pool, follower, registrar: entries share demand and outcomes of uneven backend servers

Each entry found out for itself that a backend server fails part of its requests, and forgot it after four seconds. With 12 entries and 3 plain servers, one that failed half of its requests for 6 s got 9.3 % of all.

Follow carries the demand of an entry by service and the outcomes of its last second at backend servers that it does not trust fully (fields 30 to 32); registrars pass on the sums of the other entries. A bad outcome makes a backend server suspect for 0.5 to 4 s: it gets requests only if no other can take them, is then tried with one at a time, and loses a step with each sound trial of this entry or of others.

--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -70,6 +70,9 @@
 	Decode func([]byte) (catalog.Catalog, error)
 	// Loads returns the requests in flight by backend server.
 	Loads func() map[string]int
+	// Report returns the demand of the entry and the outcomes of its requests; nil if
+	// it reports none.
+	Report func() Report
 	// Observations returns what the entry has observed after a sequence number, and
 	// the highest number; see quarantine.Guard.
 	Observations func(after uint64) ([]quarantine.Observation, uint64)
@@ -136,6 +139,7 @@
 	firstAnswerAt     time.Time
 	peerLoads         map[string]uint32
 	peerLoadsAt       time.Time
+	peerReport        PeerReport // received with peerLoads
 	lastQuorumContact time.Time
 }
 
@@ -268,6 +272,7 @@
 	if isMember {
 		req.Loads = f.ownLoads()
 	}
+	f.setReport(req, isMember)
 	req.WithoutLoads = source != "" && source != address || !isMember
 	wait := followWait
 	if source == address {
@@ -420,6 +425,7 @@
 		f.peerLoads[l.Id] = l.InFlight
 	}
 	f.peerLoadsAt = now
+	f.peerReport = newPeerReport(res)
 }
 
 // decode decodes the catalog of a response if it is newer than the one in use.
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -187,6 +187,20 @@
 	g.pool.SetPeerLoads(time.Now(), loads)
 }
 
+// Report returns this entry's demand and the outcomes of its requests.
+func (g *Gateway) Report() follower.Report {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pool.Report(time.Now())
+}
+
+// SetPeerReport sets the sum of the reports of peer entries.
+func (g *Gateway) SetPeerReport(r follower.PeerReport) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pool.SetPeerReport(time.Now(), r)
+}
+
 // InFlight returns this entry's requests in flight by backend server.
 func (g *Gateway) InFlight() map[string]int {
 	g.mu.Lock()
--- a/internal/coordination/pool/condition.go
+++ b/internal/coordination/pool/condition.go
@@ -47,6 +47,7 @@
 	Delayed                  // delayed
 	Closed                   // closed
 	Leaving                  // leaving
+	Suspect                  // suspect
 )
 
 // failingShare is the share of failures from which on a backend server is
@@ -68,12 +69,14 @@
 			c.State, c.Age = Leaving, now.Sub(s.leavingSince)
 		case now.Before(s.closedUntil):
 			c.State = Closed
-		case s.failuresUpdatedAt.IsZero():
+		case s.failuresUpdatedAt.IsZero() && s.trust.level == 0:
 			continue
 		case now.Before(s.avoidUntil) || s.misses > 0:
 			c.State = Avoided
 		case c.Share >= failingShare:
 			c.State = Failing
+		case s.trust.level > 0:
+			c.State, c.Age = Suspect, now.Sub(s.trust.steppedAt)
 		}
 		list = append(list, c)
 	}
--- a/internal/coordination/pool/pool.go
+++ b/internal/coordination/pool/pool.go
@@ -81,7 +81,7 @@
 	// other entries have in flight.
 	peerLoadsKnown bool
 	quotasSetAt    time.Time
-	peerDemand     PeerDemand
+	peerReport     follower.PeerReport
 }
 
 // New returns an empty pool.
@@ -310,6 +310,7 @@
 		result = Abandoned
 	}
 	s.observe(now, result, timeToFirst)
+	p.observeOutcome(now, p.service(serviceName), s, result, timeToFirst, held)
 	p.service(serviceName).observe(result, held)
 }
 
--- a/internal/coordination/pool/pool_string.go
+++ b/internal/coordination/pool/pool_string.go
@@ -62,11 +62,12 @@
 	_ = x[Delayed-5]
 	_ = x[Closed-6]
 	_ = x[Leaving-7]
+	_ = x[Suspect-8]
 }
 
-const _State_name = "soundslowrestingavoidedfailingdelayedclosedleaving"
+const _State_name = "soundslowrestingavoidedfailingdelayedclosedleavingsuspect"
 
-var _State_index = [...]uint8{0, 5, 9, 16, 23, 30, 37, 43, 50}
+var _State_index = [...]uint8{0, 5, 9, 16, 23, 30, 37, 43, 50, 57}
 
 func (i State) String() string {
 	idx := int(i) - 0
--- a/internal/coordination/pool/server.go
+++ b/internal/coordination/pool/server.go
@@ -104,6 +104,7 @@
 	// quota is the number of requests that this entry may have there until the
 	// next exchange, so that entries do not all fill the same free slots. pastInFlight
 	// holds earlier values of inFlight, the oldest one last.
+	trust        trust
 	quota        int
 	pastInFlight [reportAgeSteps]int
 }
@@ -187,7 +188,7 @@
 // choose returns Assign, Refuse, or Wait if there is no capacity now. It does
 // not record the assignment.
 func (p *Pool) choose(now time.Time, svc *service, r *Request) Decision {
-	var candidates, lastResort []candidate
+	var candidates, suspects, lastResort []candidate
 	usable, full := 0, false
 	soonest, reason := time.Time{}, AllAvoided
 	for _, s := range svc.servers {
@@ -220,6 +221,8 @@
 			full = full || !leaving
 		case leaving:
 			lastResort = append(lastResort, p.candidate(now, svc, s, slots, cold))
+		case s.trust.isSuspect(now, s.inFlight) && !svc.ignoreTrust:
+			suspects = append(suspects, p.candidate(now, svc, s, slots, cold))
 		default:
 			candidates = append(candidates, p.candidate(now, svc, s, slots, cold))
 		}
@@ -227,6 +230,8 @@
 	switch {
 	case len(candidates) > 0:
 		return p.pick(candidates)
+	case len(suspects) > 0:
+		return p.pick(suspects)
 	case full:
 		return Wait{}
 	case len(lastResort) > 0:
--- a/internal/coordination/pool/service.go
+++ b/internal/coordination/pool/service.go
@@ -43,6 +43,8 @@
 	lateStarts      window // requests that started too late to be served on time
 	firstAttempts   window
 	retries         window
+	medianLatency   time.Duration // of the backend servers; 0 if it is not known
+	ignoreTrust     bool          // too many backend servers are suspect
 }
 
 func (s *service) setSpec(spec *catalog.Service, ok bool) {
--- a/internal/coordination/pool/shares.go
+++ b/internal/coordination/pool/shares.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"oleanderrack.example/oleanderrack/internal/coordination/follower"
 )
 
 const (
@@ -30,16 +32,6 @@
 	turnPeriod = 4 * time.Second
 )
 
-// PeerDemand is the demand of the other entries in first attempts per second, by
-// service.
-type PeerDemand struct {
-	// Sum is the demand of those that have reported, and Before the part of it that
-	// belongs to entries with a lower position than this one.
-	Sum, Before map[string]float64
-	// Reported is the number of entries in Sum; 0 if the demand is not known.
-	Reported int
-}
-
 // part is the interval from begin to end, without end, of a common limit of 1.
 type part struct{ begin, end float64 }
 
@@ -84,32 +76,50 @@
 	return max(minDemand, float64(started+len(s.queue))/demandWindow.Seconds())
 }
 
-// Demand returns this entry's demand in first attempts per second, by service.
-func (p *Pool) Demand(now time.Time) map[string]float64 {
-	demand := make(map[string]float64, len(p.services))
+// Report returns this entry's demand, and the outcomes of its requests at backend
+// servers that it does not trust fully.
+func (p *Pool) Report(now time.Time) follower.Report {
+	r := follower.Report{Demand: make(map[string]float64, len(p.services)), Outcomes: map[string]follower.Outcomes{}}
 	for name, svc := range p.services {
-		demand[name] = svc.demand(now, p.cfg.RetryWindow)
+		r.Demand[name] = svc.demand(now, p.cfg.RetryWindow)
+		for _, s := range svc.servers {
+			if o := s.trust.outcomes(now); o.Bad > 0 || (o.Good > 0 && s.trust.level > 0) {
+				r.Outcomes[s.info.ID] = o
+			}
+		}
 	}
-	return demand
+	return r
 }
 
-// SetPeerDemand sets the demand of the other entries.
-func (p *Pool) SetPeerDemand(d PeerDemand) { p.peerDemand = d }
+// SetPeerReport sets the sum of the reports of the other entries.
+func (p *Pool) SetPeerReport(now time.Time, r follower.PeerReport) {
+	p.peerReport = r
+	if len(r.Outcomes) == 0 {
+		return
+	}
+	for _, svc := range p.services {
+		for _, s := range svc.servers {
+			if s.trust.observePeers(now, r.Outcomes[s.info.ID], p.cfg.Random) {
+				s.restore(svc.medianLatency)
+			}
+		}
+	}
+}
 
 // knowsDemand reports whether the demand of most entries is known. Otherwise the shares
 // are even.
 func (p *Pool) knowsDemand() bool {
-	return p.peerLoadsKnown && p.peerDemand.Reported > 0 && 2*p.peerDemand.Reported >= p.entries-1
+	return p.peerLoadsKnown && p.peerReport.Reported > 0 && 2*p.peerReport.Reported >= p.entries-1
 }
 
 // slotPart is this entry's part of the free slots of a service.
 func (p *Pool) slotPart(now time.Time, name string, svc *service) part {
-	d := p.peerDemand
-	own, peers := svc.demand(now, p.cfg.RetryWindow), max(d.Sum[name], 0)
+	d := p.peerReport
+	own, peers := svc.demand(now, p.cfg.RetryWindow), max(d.Demand[name], 0)
 	// Entries that have not reported are taken to have the mean demand of the others,
 	// after all positions.
 	missing := max(0, float64(p.entries-1-d.Reported)) * (own + peers) / float64(d.Reported+1)
-	return demandPart(own, min(max(d.Before[name], 0), peers), own+peers+missing)
+	return demandPart(own, min(max(d.DemandBefore[name], 0), peers), own+peers+missing)
 }
 
 // setQuotas assigns the slots that were free at the last exchange, each to one entry
@@ -124,6 +134,7 @@
 	}
 	p.quotasSetAt = now
 	for name, svc := range p.services {
+		svc.updateReference()
 		if !p.knowsDemand() {
 			for _, s := range svc.servers {
 				s.setEvenQuota(s.slots(svc), p.entries, p.cfg.Random)
--- a/internal/coordination/pool/shares_test.go
+++ b/internal/coordination/pool/shares_test.go
@@ -141,13 +141,13 @@
 func (m *shareModel) exchange(now time.Time) {
 	var reports []modelReport
 	for _, p := range m.pools {
-		reports = append(reports, modelReport{p.InFlight(), p.Demand(now)["pool"]})
+		reports = append(reports, modelReport{p.InFlight(), p.Report(now).Demand["pool"]})
 	}
 	m.reported = append(m.reported, reports)
 	for i, p := range m.pools {
 		// Registrars have heard of the entries at different times.
 		old := m.reported[max(0, len(m.reported)-1-countAgeTicks-i%3)]
-		peers, d := map[string]uint32{}, PeerDemand{Sum: map[string]float64{}, Before: map[string]float64{}, Reported: m.entries - 1}
+		peers, d := map[string]uint32{}, follower.PeerReport{Demand: map[string]float64{}, DemandBefore: map[string]float64{}, Reported: m.entries - 1}
 		for j, r := range old {
 			if j == i {
 				continue
@@ -155,13 +155,13 @@
 			for id, n := range r.loads {
 				peers[id] += uint32(n)
 			}
-			d.Sum["pool"] += r.demand
+			d.Demand["pool"] += r.demand
 			if j < i {
-				d.Before["pool"] += r.demand
+				d.DemandBefore["pool"] += r.demand
 			}
 		}
 		if m.withDemand {
-			p.SetPeerDemand(d)
+			p.SetPeerReport(now, d)
 		}
 		p.SetPeerLoads(now, peers)
 	}
@@ -222,9 +222,9 @@
 		if a, ok := p.Submit(now, request(1, now, time.Second)).(Assign); ok {
 			p.Done(now, "pool", a.Server.ID, 1, Answered, time.Millisecond, time.Millisecond)
 		}
-		p.Demand(now)
+		p.Report(now)
 	}
-	if got := p.Demand(now)["pool"]; got < 80 || got > 120 {
+	if got := p.Report(now).Demand["pool"]; got < 80 || got > 120 {
 		t.Errorf("demand %v, want about 100", got)
 	}
 	if n := len(p.services["pool"].firstAttempts.buckets); n > 110 {
@@ -233,8 +233,8 @@
 	for range 10 {
 		p.Submit(now, request(1, now, time.Second))
 	}
-	if waiting, _ := p.Counts(); p.Demand(now)["pool"] < 84 || waiting != 6 {
-		t.Errorf("demand %v with %d requests waiting, want 104 or so with 6", p.Demand(now)["pool"], waiting)
+	if waiting, _ := p.Counts(); p.Report(now).Demand["pool"] < 84 || waiting != 6 {
+		t.Errorf("demand %v with %d requests waiting, want 104 or so with 6", p.Report(now).Demand["pool"], waiting)
 	}
 }
 
--- a/internal/coordination/registrar/follow.go
+++ b/internal/coordination/registrar/follow.go
@@ -72,6 +72,7 @@
 	for _, l := range req.Loads {
 		f.loads[l.Id] = l.InFlight
 	}
+	f.entryReport = newEntryReport(req)
 }
 
 // responseIfChanged returns a response if there are changes that the caller
@@ -117,6 +118,7 @@
 	}
 	if req.GetNode().GetRole() == peer.Role_ROLE_ENTRY && !req.WithoutLoads {
 		res.Loads = r.peerLoads(req.Node.Id)
+		r.addPeerReports(res, req.Node.Id)
 	}
 	if r.quarantined.index > req.QuarantineIndex {
 		res.Quarantined = r.quarantined.parts
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -142,6 +142,7 @@
 type entryState struct {
 	seen  time.Time
 	loads map[string]uint32 // its requests in flight, by backend server
+	entryReport
 }
 
 var (
