pool: keep parts of hard limits within the limit while entries come and go

The parts of a cold backend server's limit and of the retry slack follow from an entry's position and the number of entries. Entries hear of a change at different times, so that two of them could claim the same unit of a cold limit, and an entry with a number from a registrar that had just started took too much. An index near the end of the hash's range overflowed, with the same effect.

An entry now takes the least part that it had in the last 3 s (cold) and 12 s (retries).

--- a/internal/coordination/pool/pool.go
+++ b/internal/coordination/pool/pool.go
@@ -69,7 +69,8 @@
 type Pool struct {
 	cfg          Config
 	entries      int
-	entryIndex   int                  // position of this entry among the entries
+	entryIndex   int // position of this entry among the entries
+	places       placeHistory
 	returnedAt   map[string]time.Time // by failure domain, when its drain ended
 	drained      map[string]bool
 	servers      map[string]*server
@@ -95,6 +96,7 @@
 // Update applies a new view of the backend servers.
 func (p *Pool) Update(now time.Time, v *follower.View) {
 	p.entries, p.entryIndex = v.Entries, v.EntryIndex
+	p.places.record(now, place{v.EntryIndex, v.Entries})
 	for domain := range p.drained {
 		if !v.Drained[domain] {
 			p.returnedAt[domain] = now
@@ -180,7 +182,7 @@
 // attempt has ended.
 func (p *Pool) Submit(now time.Time, r *Request) Decision {
 	svc := p.service(r.Service)
-	if r.IsRetry && !svc.mayRetry(now, p.cfg, p.entries) {
+	if r.IsRetry && !svc.mayRetry(now, p.cfg, p.places.mostEntries(now)) {
 		return svc.refuse(now, r, fault.RetryBudgetSpent, RetryBudget, 0, p.entries)
 	}
 	r.updateLate(now)
@@ -212,7 +214,7 @@
 // queue: silence under load is mostly that of a backend server that is still busy.
 func (p *Pool) CanRetry(now time.Time, r *Request) bool {
 	svc := p.service(r.Service)
-	if !svc.mayRetry(now, p.cfg, p.entries) {
+	if !svc.mayRetry(now, p.cfg, p.places.mostEntries(now)) {
 		return false
 	}
 	r.updateLate(now)
--- a/internal/coordination/pool/server.go
+++ b/internal/coordination/pool/server.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"oleanderrack.example/oleanderrack/internal/coordination/follower"
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
@@ -170,21 +168,6 @@
 	return len(s.coldSends) < limit
 }
 
-// coldLimit is this entry's part of the requests per second that a cold backend
-// server can take. The parts of all entries add up to the limit: what does not
-// divide evenly goes to entries that differ from one backend server to the next,
-// so that none is without cold backend servers where there are more entries than
-// requests.
-func (p *Pool) coldLimit(perSecond float64, id string) int {
-	limit := int(coldMargin * (perSecond + p.cfg.ColdSlack))
-	turn := (uint64(p.entryIndex) + xxhash.Sum64String(id)) % uint64(p.entries)
-	part := limit / p.entries
-	if turn < uint64(limit%p.entries) {
-		part++
-	}
-	return part
-}
-
 // choose returns Assign, Refuse, or Wait if there is no capacity now. It does
 // not record the assignment.
 func (p *Pool) choose(now time.Time, svc *service, r *Request) Decision {
@@ -273,7 +256,7 @@
 	case p.isBeyondQuota(s) && float64(running) >= contendedShare*float64(slots):
 		return slots, false
 	}
-	return slots, running < slots && (!cold || s.hasColdCapacity(now, p.coldLimit(svc.spec.ColdRequestsPerSecond, s.info.ID)))
+	return slots, running < slots && (!cold || s.hasColdCapacity(now, p.coldLimit(now, svc.spec.ColdRequestsPerSecond, s.info.ID)))
 }
 
 // isBeyondQuota reports whether one more request there may meet one of another entry
