pool: choose a backend server without allocations

The choice among 72 backend servers copied the description of each candidate up to three times, and computed what is the same for a group or a failure domain for each of its backend servers.

Candidates refer to their backend server, the lists are kept between choices, and groups and domains are evaluated once per choice.

--- a/internal/coordination/pool/pool.go
+++ b/internal/coordination/pool/pool.go
@@ -83,6 +83,7 @@
 	peerLoadsKnown bool
 	quotasSetAt    time.Time
 	peerReport     follower.PeerReport
+	choice         choice
 }
 
 // New returns an empty pool.
--- a/internal/coordination/pool/server.go
+++ b/internal/coordination/pool/server.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"oleanderrack.example/oleanderrack/internal/coordination/follower"
-	"oleanderrack.example/oleanderrack/pkg/fault"
 )
 
 // Weights and times of the choice.
@@ -141,6 +140,9 @@
 }
 
 func (s *server) currentFailureShare(now time.Time) float64 {
+	if s.failureShare == 0 {
+		return 0
+	}
 	return s.failureShare * math.Exp2(-now.Sub(s.failuresUpdatedAt).Seconds()/failureHalfLife.Seconds())
 }
 
@@ -168,63 +170,6 @@
 	return len(s.coldSends) < limit
 }
 
-// choose returns Assign, Refuse, or Wait if there is no capacity now. It does
-// not record the assignment.
-func (p *Pool) choose(now time.Time, svc *service, r *Request) Decision {
-	var candidates, suspects, lastResort []candidate
-	usable, full := 0, false
-	soonest, reason := time.Time{}, AllAvoided
-	for _, s := range svc.servers {
-		if s.info.Draining || s.misdirected || p.drained[s.info.FailureDomain] || slices.Contains(r.Tried, s.info.ID) {
-			continue
-		}
-		leaving, mayStillServe := s.isLeaving(now, p.cfg.LeavingGrace)
-		if !mayStillServe {
-			continue
-		}
-		usable++
-		if now.Before(s.closedUntil) {
-			// A request waits for it if that is still in time.
-			full = full || (!leaving && s.closedUntil.Before(r.LatestStart))
-			if soonest.IsZero() || s.closedUntil.Before(soonest) {
-				soonest, reason = s.closedUntil, AllClosed
-			}
-			continue
-		}
-		if now.Before(s.avoidUntil) || (s.misses > 0 && s.inFlight > 0) {
-			if soonest.IsZero() || s.avoidUntil.Before(soonest) {
-				soonest, reason = s.avoidUntil, AllAvoided
-			}
-			continue
-		}
-		cold := svc.spec.ColdRequestsPerSecond > 0 && s.isCold(now, p.returnedAt[s.info.FailureDomain])
-		slots, ok := p.checkCapacity(now, svc, s, r, cold)
-		switch {
-		case !ok || s.reopensSlowly(now):
-			full = full || !leaving
-		case leaving:
-			lastResort = append(lastResort, p.candidate(now, svc, s, slots, cold))
-		case s.trust.isSuspect(now, s.inFlight) && !svc.ignoreTrust:
-			suspects = append(suspects, p.candidate(now, svc, s, slots, cold))
-		default:
-			candidates = append(candidates, p.candidate(now, svc, s, slots, cold))
-		}
-	}
-	switch {
-	case len(candidates) > 0:
-		return p.pick(candidates)
-	case len(suspects) > 0:
-		return p.pick(suspects)
-	case full:
-		return Wait{}
-	case len(lastResort) > 0:
-		return p.pick(lastResort)
-	case usable == 0:
-		return Refuse{Kind: fault.Unavailable, Reason: NoServer, RetryAfter: minRetryAfter}
-	}
-	return Refuse{Kind: fault.Unavailable, Reason: reason, RetryAfter: max(minRetryAfter, soonest.Sub(now))}
-}
-
 // slots is the number of requests that a backend server processes at once.
 func (s *server) slots(svc *service) int {
 	switch {
@@ -235,133 +180,3 @@
 	}
 	return 1
 }
-
-// checkCapacity reports whether a backend server can take one more request now,
-// and how many it is to process at once.
-func (p *Pool) checkCapacity(now time.Time, svc *service, s *server, r *Request, cold bool) (slots int, ok bool) {
-	slots = s.slots(svc)
-	if g := p.groups[s.info.Group]; g != nil {
-		if g.isUnavailable(now, r.TargetGap) {
-			return slots, false
-		}
-		slots = g.limit(now, svc.spec.Engine, slots, r.TargetGap)
-	}
-	running := s.inFlight + s.peerLoad
-	switch {
-	case now.Before(s.fullUntil):
-		return slots, false
-	case !p.peerLoadsKnown:
-		// Other entries may take their even share too.
-		slots = (slots + p.entries - 1) / p.entries
-	case p.isBeyondQuota(s) && float64(running) >= contendedShare*float64(slots):
-		return slots, false
-	}
-	return slots, running < slots && (!cold || s.hasColdCapacity(now, p.coldLimit(now, svc.spec.ColdRequestsPerSecond, s.info.ID)))
-}
-
-// isBeyondQuota reports whether one more request there may meet one of another entry
-// at the last free slot.
-func (p *Pool) isBeyondQuota(s *server) bool {
-	return p.entries > 1 && p.peerLoadsKnown && s.inFlight >= s.quota
-}
-
-// candidate is a backend server that can take a request.
-type candidate struct {
-	// idle is its cost without other requests.
-	idle float64
-	// fill is the share of its slots that are taken.
-	fill   float64
-	assign Assign
-	// hasQuota reports whether the request is within this entry's quota.
-	hasQuota bool
-}
-
-func (p *Pool) candidate(now time.Time, svc *service, s *server, slots int, cold bool) candidate {
-	idle := p.idleCost(now, svc, s, cold)
-	load := float64(ownWeight*s.inFlight+s.peerLoad) / float64(slots)
-	return candidate{idle: idle, fill: float64(s.inFlight+s.peerLoad) / float64(slots), hasQuota: !p.knowsDemand() || !p.isBeyondQuota(s), assign: Assign{
-		Server: s.info, Running: s.inFlight + s.peerLoad, PeerLoad: s.peerLoad, Cold: cold,
-		Cost: time.Duration(idle * (1 + loadCost*load)),
-	}}
-}
-
-// pick samples a few of the candidates whose idle costs are similar and takes
-// the cheapest one. Entries observe each other's requests late: if each chose
-// the least loaded backend server, all would choose the same one.
-func (p *Pool) pick(candidates []candidate) Assign {
-	least := candidates[0].idle
-	for _, c := range candidates {
-		least = min(least, c.idle)
-	}
-	// Of hundreds of backend servers few are near, so that a sample of all would
-	// mostly be far away.
-	var near, far preferred
-	for _, c := range candidates {
-		if c.idle > similarCostFactor*least {
-			continue
-		}
-		if c.assign.Server.FailureDomain == p.cfg.FailureDomain {
-			near.add(c)
-		} else {
-			far.add(c)
-		}
-	}
-	switch {
-	case len(near.list) == 0:
-		return p.cheapestSampled(far.list).assign
-	case len(far.list) == 0:
-		return p.cheapestSampled(near.list).assign
-	}
-	nearest, other := p.cheapestSampled(near.list), p.cheapestSampled(far.list)
-	if nearest.idle*(1+loadCost*nearest.fill) > other.idle*(1+loadCost*(other.fill+nearFill)) {
-		return other.assign
-	}
-	return nearest.assign
-}
-
-// preferred is a list of candidates within the entry's quota, or of others as long as
-// there is none: other entries may take the same slots of these.
-type preferred struct {
-	list     []candidate
-	hasQuota bool
-}
-
-func (l *preferred) add(c candidate) {
-	switch {
-	case c.hasQuota && !l.hasQuota:
-		l.list, l.hasQuota = append(l.list[:0], c), true
-	case c.hasQuota == l.hasQuota:
-		l.list = append(l.list, c)
-	}
-}
-
-// cheapestSampled returns the cheapest of a few candidates.
-func (p *Pool) cheapestSampled(candidates []candidate) candidate {
-	chosen := candidates[p.cfg.Random.IntN(len(candidates))]
-	for range sampledServers - 1 {
-		if other := candidates[p.cfg.Random.IntN(len(candidates))]; other.assign.Cost < chosen.assign.Cost {
-			chosen = other
-		}
-	}
-	return chosen
-}
-
-// idleCost is the expected time to the first answer without other load,
-// multiplied by the cost factors of failures, of the path and of a cold backend
-// server.
-func (p *Pool) idleCost(now time.Time, svc *service, s *server, cold bool) float64 {
-	mean := max(svc.meanTimeToFirst, time.Millisecond)
-	cost := float64(s.expectedLatency(now, mean))
-	if g := p.groups[s.info.Group]; g != nil {
-		// The ranks of a group run each pass together, so that they are equally fast.
-		cost = float64(mean) * g.currentSlowness(now)
-	}
-	cost *= 1 + failureCost*s.currentFailureShare(now)
-	if s.info.FailureDomain != p.cfg.FailureDomain {
-		cost *= crossDomainCost * p.pathCost(now, s.info.FailureDomain)
-	}
-	if cold {
-		cost *= coldCost
-	}
-	return cost
-}
