--- a/internal/coordination/pool/shares_test.go
+++ b/internal/coordination/pool/shares_test.go
@@ -37,7 +37,6 @@
 	waits    []time.Duration // sum by failure domain
 	served   []int
 	refused  []int
-	figures  shareFigures
 }
 
 type modelReport struct {
