--- a/internal/coordination/pool/pool.go
+++ b/internal/coordination/pool/pool.go
@@ -68,7 +68,8 @@
 type Pool struct {
 	cfg          Config
 	entries      int
-	entryIndex   int                  // position of this entry among the entries
+	entryIndex   int // position of this entry among the entries
+	places       placeHistory
 	returnedAt   map[string]time.Time // by failure domain, when its drain ended
 	drained      map[string]bool
 	servers      map[string]*server
@@ -80,6 +81,8 @@
 	// other entries have in flight.
 	peerLoadsKnown bool
 	quotasSetAt    time.Time
+	peerReport     follower.PeerReport
+	choice         choice
 }
 
 // New returns an empty pool.
@@ -93,6 +96,7 @@
 // Update applies a new view of the backend servers.
 func (p *Pool) Update(now time.Time, v *follower.View) {
 	p.entries, p.entryIndex = v.Entries, v.EntryIndex
+	p.places.record(now, place{v.EntryIndex, v.Entries})
 	for domain := range p.drained {
 		if !v.Drained[domain] {
 			p.returnedAt[domain] = now
@@ -141,14 +145,7 @@
 			s.peerLoad = int(loads[id])
 		}
 	}
-	if now.Sub(p.quotasSetAt) >= exchangeInterval {
-		p.quotasSetAt = now
-		for _, svc := range p.services {
-			for _, s := range svc.servers {
-				s.setQuota(s.slots(svc), p.entries, p.cfg.Random)
-			}
-		}
-	}
+	p.setQuotas(now)
 	p.updateExpectedPasses()
 }
 
@@ -197,6 +194,7 @@
 		result = Abandoned
 	}
 	s.observe(now, result, timeToFirst)
+	p.observeOutcome(now, p.service(serviceName), s, result, timeToFirst, held)
 	p.service(serviceName).observe(result, held)
 }
 
--- a/internal/coordination/pool/service.go
+++ b/internal/coordination/pool/service.go
@@ -45,6 +45,8 @@
 	shares          map[int]*accountShares // by priority
 	classes         classes
 	returns         returnSchedule
+	medianLatency   time.Duration // of the backend servers; 0 if it is not known
+	ignoreTrust     bool          // too many backend servers are suspect
 }
 
 func (s *service) setSpec(spec *catalog.Service, ok bool) {
--- a/internal/coordination/pool/submit.go
+++ b/internal/coordination/pool/submit.go
@@ -25,7 +25,7 @@
 	if !r.IsRetry {
 		r.returning, r.due = svc.returns.isReturning(now, r)
 	}
-	if r.IsRetry && !svc.mayRetry(now, p.cfg, p.entries) {
+	if r.IsRetry && !svc.mayRetry(now, p.cfg, p.places.mostEntries(now)) {
 		return p.refuse(now, svc, r, fault.RetryBudgetSpent, RetryBudget, 0)
 	}
 	r.updateLate(now)
@@ -75,7 +75,7 @@
 // queue: silence under load is mostly that of a backend server that is still busy.
 func (p *Pool) CanRetry(now time.Time, r *Request) bool {
 	svc := p.service(r.Service)
-	if !svc.mayRetry(now, p.cfg, p.entries) {
+	if !svc.mayRetry(now, p.cfg, p.places.mostEntries(now)) {
 		return false
 	}
 	svc.prepare(r)
