prefix, routing: weigh the saving of a cached prefix in a package of its own

The cost of a candidate mixed wait and saving in one expression, and an entry never learned whether its table of prefixes was right. Package prefix makes the decision for both data paths; routing passes it wait, tokens, probability and reading speed of each candidate, and the cached tokens that engines report in the first event of a stream correct the estimate per service.

--- a/internal/coordination/entry/deployment_test.go
+++ b/internal/coordination/entry/deployment_test.go
@@ -52,6 +52,17 @@
 // startDeployment starts a deployment. With a fault source, the entry's calls
 // to the ledger and the agent are subject to faults.
 func startDeployment(t *testing.T, faults *faultSource) *deployment {
+	t.Helper()
+	var engines []standin.EngineConfig
+	for _, name := range []string{"pool-1", "pool-2"} {
+		engines = append(engines, standin.EngineConfig{Name: name, Service: "pool", MemoryTokens: 20000, MaxConcurrent: 16, StartWarm: true, Resumes: true})
+	}
+	return startDeploymentWith(t, faults, engines, func(*Role) {})
+}
+
+// startDeploymentWith starts a deployment with the given engines, and calls
+// prepare before the entry serves.
+func startDeploymentWith(t *testing.T, faults *faultSource, engines []standin.EngineConfig, prepare func(*Role)) *deployment {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
@@ -92,8 +103,9 @@
 	}
 	serve(agent)
 	d := &deployment{}
-	for _, name := range []string{"pool-1", "pool-2"} {
-		e, err := standin.StartEngine(ctx, standin.EngineConfig{Name: name, Service: "pool", Agent: agent.Address(), MemoryTokens: 20000, MaxConcurrent: 16, StartWarm: true, Resumes: true})
+	for _, cfg := range engines {
+		cfg.Agent = agent.Address()
+		e, err := standin.StartEngine(ctx, cfg)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -124,11 +136,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	prepare(d.entry)
 	serve(d.entry)
-	waitFor(t, "five backend servers", func() bool {
+	waitFor(t, "all backend servers", func() bool {
 		d.entry.mu.Lock()
 		defer d.entry.mu.Unlock()
-		return d.entry.view.Len() == 5 && d.entry.ready() == nil
+		return d.entry.view.Len() == len(engines)+3 && d.entry.ready() == nil
 	})
 	return d
 }
--- a/internal/coordination/entry/scheduler.go
+++ b/internal/coordination/entry/scheduler.go
@@ -286,6 +286,10 @@
 func (r *Role) recordStart(now time.Time, w *waiter, c routing.Choice) {
 	r.scheduler.running++
 	r.view.RecordStart(now, c, w.request.Prefix)
+	if w.request.Prefix != nil {
+		r.count("prefix_decisions", c.Outcome.String())
+		r.scope.Counter("prefix_tokens_expected").Inc(int64(c.ExpectedTokens))
+	}
 }
 
 // grantPeriodically checks the queues at intervals, because capacity can also
--- a/internal/coordination/entry/send.go
+++ b/internal/coordination/entry/send.go
@@ -134,6 +134,9 @@
 	choice   routing.Choice
 	head     *peer.Head
 	buffered answerBuffer
+	// cachedRead is set once the first event has been searched for the number of
+	// cached tokens.
+	cachedRead bool
 }
 
 // answerBuffer holds the first part of an answer that is not a stream, so that
@@ -311,6 +314,7 @@
 		if !a.w.Began() {
 			a.w.Begin(int(d.head.Status), d.head.Headers, true)
 		}
+		d.recordCached(c.Data)
 		a.sent.add(c)
 	} else if !a.w.Began() {
 		if d.buffered.add(c.Data) {
--- a/internal/coordination/routing/choose.go
+++ b/internal/coordination/routing/choose.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"oleanderrack.example/oleanderrack/internal/coordination/prefix"
 	"oleanderrack.example/oleanderrack/internal/protocol/peer"
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
@@ -65,9 +66,18 @@
 	CachedBytes int
 	CachedShare float64
 
+	// Outcome says how cached prefixes affected the choice, and ExpectedTokens is
+	// the number of prompt tokens that need not be read because of them.
+	Outcome        prefix.Outcome
+	ExpectedTokens float64
+
 	slot       int32
 	generation uint32
 	tokens     float64
+	// knownTokens is the number of cached tokens according to the prefix table
+	// alone, before the correction by experience, and memory the share of the
+	// memory in use, for RecordCached.
+	knownTokens, memory float64
 }
 
 const (
@@ -92,15 +102,23 @@
 	}
 	var candidates [maxCandidates]int32
 	n := v.candidates(&candidates, list, req.Prefix, found[:foundBlocks])
-	var best estimate
+	var estimates [maxCandidates]estimate
+	var offers [maxCandidates]prefix.Offer
+	usable := 0
 	for i, slot := range candidates[:n] {
 		if s := v.servers[slot]; v.usable(now, s, &req) {
-			if e := v.estimate(now, s, i, &req, &found); !e.full && (best.server == nil || e.cost < best.cost) {
-				best = e
+			if e := v.estimate(now, s, i, &req, &found); !e.full {
+				estimates[usable], offers[usable] = e, e.offer
+				usable++
 			}
 		}
 	}
-	if best.server == nil {
+	var best estimate
+	outcome := prefix.Unknown
+	if usable > 0 {
+		chosen, o := prefix.Weigh(offers[:usable])
+		best, outcome = estimates[chosen], o
+	} else {
 		s, err := v.scan(now, list, &req)
 		if err != nil {
 			return Choice{}, err
@@ -111,6 +129,8 @@
 	return Choice{
 		Agent: s.agent, BackendServer: s.key.server, Region: s.key.region, Window: s.window,
 		CachedBytes: best.cachedBlocks * BlockBytes, CachedShare: best.cachedShare,
+		Outcome: outcome, ExpectedTokens: best.offer.Tokens * best.offer.Held,
+		knownTokens: best.knownTokens, memory: best.memory,
 		slot: s.slot, generation: s.generation, tokens: req.Tokens,
 	}, nil
 }
@@ -160,14 +180,17 @@
 	return false
 }
 
-// estimate describes a candidate: cost is the expected time to the first token in
-// seconds, cachedBlocks the number of cached blocks according to the prefix
-// table, and cachedShare the share of the prompt expected in the cache.
+// estimate describes a candidate: cachedBlocks is the number of cached blocks
+// according to the prefix table, cachedShare the share of the prompt expected in
+// the cache, knownTokens the expected tokens according to the prefix table, and
+// memory the share of the memory in use.
 type estimate struct {
 	server       *server
-	cost         float64
+	offer        prefix.Offer
 	cachedShare  float64
 	cachedBlocks int
+	knownTokens  float64
+	memory       float64
 	full         bool
 }
 
@@ -176,17 +199,21 @@
 func (v *View) estimate(now time.Time, s *server, rank int, req *Request, found *[maxBlocks]*block) estimate {
 	w := &v.cfg.Weights
 	share, full := v.share(now, s, req.Tokens)
-	e := estimate{server: s, full: full, cost: w.QueueSeconds*share*share + w.DomainSeconds*domainFactor(s.distance)}
+	e := estimate{server: s, full: full, offer: prefix.Offer{Wait: w.QueueSeconds*share*share + w.DomainSeconds*domainFactor(s.distance)}}
 	if req.Prefix == nil || req.Prefix.bytes == 0 {
 		return e
 	}
 	total := float64(req.Prefix.bytes)
-	e.cachedBlocks = v.prefixes.cachedBlocks(req.Prefix, s.slot, found, v.cacheCapacity(s))
-	e.cachedShare = float64(e.cachedBlocks*BlockBytes) / total
+	blocks, expected := v.prefixes.cachedBlocks(req.Prefix, s.slot, found, v.cacheCapacity(s))
+	e.cachedBlocks, e.cachedShare, e.knownTokens = blocks, expected*BlockBytes/total, expected*BlockBytes/w.BytesPerToken
 	if rank < preferredServers && req.Prefix.n > 0 {
 		e.cachedShare = max(e.cachedShare, w.PreferredReuse[rank])
 	}
-	e.cost += w.PrefillSeconds * total * (1 - e.cachedShare) / w.BytesPerToken
+	e.memory = s.load.memory()
+	e.offer.Tokens = e.cachedShare * total / w.BytesPerToken
+	e.offer.Held = v.experience(req.Service).Trust(e.memory)
+	e.offer.TokensPerSecond = 1 / w.PrefillSeconds
+	e.cachedShare *= e.offer.Held
 	return e
 }
 
@@ -345,6 +372,32 @@
 	}
 }
 
+// RecordCached records how many prompt tokens a backend server has reported as
+// cached, for the process that was chosen. The service's experience corrects
+// later estimates. If nothing was left of blocks that this entry had sent there,
+// half of what the cache holds counts as evicted, so that a cache that was lost
+// without a restart is forgotten after two such reports, and one late eviction
+// is not taken for a loss.
+func (v *View) RecordCached(c Choice, service string, cached uint64) {
+	s := v.find(c)
+	if s == nil {
+		return
+	}
+	v.experience(service).Record(c.memory, c.knownTokens, float64(cached))
+	if cached == 0 && c.CachedBytes > 0 {
+		v.prefixes.clock[s.slot] += v.cacheCapacity(s) / 2
+	}
+}
+
+func (v *View) experience(service string) *prefix.Experience {
+	x := v.experiences[service]
+	if x == nil {
+		x = &prefix.Experience{}
+		v.experiences[service] = x
+	}
+	return x
+}
+
 // Contains reports whether the chosen process is still in the view.
 func (v *View) Contains(c Choice) bool { return v.find(c) != nil }
 
--- a/internal/coordination/routing/load.go
+++ b/internal/coordination/routing/load.go
@@ -107,6 +107,14 @@
 	return delta{requests: l.running, tokens: l.tokens}, added
 }
 
+// memory returns the share of the memory that was in use by the last report.
+func (l *load) memory() float64 {
+	if l.tokenLimit <= 0 {
+		return 0
+	}
+	return l.tokens / l.tokenLimit
+}
+
 // share returns the larger of the shares of the two limits in use with one more
 // request, and whether there is no room for it.
 //
--- a/internal/coordination/routing/prefix.go
+++ b/internal/coordination/routing/prefix.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 
 	"github.com/cespare/xxhash/v2"
+
+	"oleanderrack.example/oleanderrack/internal/coordination/prefix"
 )
 
 const (
@@ -112,24 +114,32 @@
 	return nil
 }
 
-// cachedBlocks returns the number of leading blocks of p that the slot is expected
-// to hold in its cache.
-func (t *prefixTable) cachedBlocks(p *Prefix, slot int32, found *[maxBlocks]*block, capacity uint32) int {
+// cachedBlocks returns the number of leading blocks of p that the slot probably
+// holds in its cache, and the expected number.
+func (t *prefixTable) cachedBlocks(p *Prefix, slot int32, found *[maxBlocks]*block, capacity uint32) (n int, expected float64) {
 	t.grow(slot)
-	n := 0
-	for n < p.n && found[n] != nil && t.holds(found[n], slot, capacity) {
-		n++
+	held := 1.0
+	for i := 0; i < p.n && found[i] != nil; i++ {
+		// A block is of use only if all blocks before it are held too.
+		if held = min(held, t.holds(found[i], slot, capacity)); held == 0 {
+			break
+		}
+		if held >= 0.5 {
+			n++
+		}
+		expected += held
 	}
-	return n
+	return n, expected
 }
 
-func (t *prefixTable) holds(b *block, slot int32, capacity uint32) bool {
+// holds returns the probability that a slot holds a block.
+func (t *prefixTable) holds(b *block, slot int32, capacity uint32) float64 {
 	for _, h := range b.holders {
 		if h.slot == slot+1 {
-			return t.clock[slot]-h.clock <= capacity
+			return prefix.Probability(float64(t.clock[slot]-h.clock), float64(capacity), 0, 0)
 		}
 	}
-	return false
+	return 0
 }
 
 // lookup finds the leading blocks of p that are in the table and returns their
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -32,6 +32,7 @@
 	"math/rand/v2"
 	"time"
 
+	"oleanderrack.example/oleanderrack/internal/coordination/prefix"
 	"oleanderrack.example/oleanderrack/internal/protocol/peer"
 	"oleanderrack.example/oleanderrack/pkg/intent"
 )
@@ -62,6 +63,9 @@
 	// peers is the estimated number of entries that share the backend servers:
 	// the ratio of all requests to this entry's own.
 	peers float64
+	// experiences are what the backend servers report about their caches, by
+	// service.
+	experiences map[string]*prefix.Experience
 }
 
 // region is the state received from the control of one region.
@@ -108,6 +112,8 @@
 		regions:   map[string]*region{},
 		prefixes:  newPrefixTable(),
 		peers:     1,
+
+		experiences: map[string]*prefix.Experience{},
 	}
 }
 
