pool, gateway: prefer a backend server that probably holds a prompt's prefix

On the direct path the parts of a prompt are known from its header, but a choice did not use them. Where the catalog says that engines keep prompts after their requests, or an answer reports cached tokens, the cost of a candidate is lowered by the reading time that is expected to be saved, less the wait beyond the usual candidate and the requests of other entries. Without such evidence the decisions stay as they are, which TestChoicesWithoutCaches compares with one random source.

--- a/internal/coordination/gateway/admit.go
+++ b/internal/coordination/gateway/admit.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"oleanderrack.example/oleanderrack/internal/coordination/pool"
+	"oleanderrack.example/oleanderrack/internal/coordination/prefix"
 	"oleanderrack.example/oleanderrack/internal/coordination/quarantine"
 	"oleanderrack.example/oleanderrack/internal/protocol/backend"
 	"oleanderrack.example/oleanderrack/internal/transport/hop"
@@ -65,6 +66,7 @@
 		return fault.New(fault.BadRequest, "the request has no %s header", headerNames.RequestID)
 	}
 	c.parts = quarantine.Parts(strings.Join(c.request.Header.Values(headerNames.PromptParts), ","))
+	c.prompt = prefix.ParseParts(strings.Join(c.request.Header.Values(headerNames.PromptParts), ","))
 	if err := c.setDeadline(headerNames.DeadlineRemaining); err != nil {
 		return err
 	}
@@ -172,7 +174,7 @@
 	}
 	return &pool.Request{
 		Service: c.service, Priority: c.priority(), Arrived: c.arrived, LatestStart: latestStart,
-		TargetStart: c.targetStart(), TargetGap: c.route.TargetGap, Tried: c.tried, IsRetry: c.sends > 0,
+		TargetStart: c.targetStart(), TargetGap: c.route.TargetGap, Tried: c.tried, IsRetry: c.sends > 0, Prompt: c.prompt,
 	}
 }
 
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -74,6 +74,7 @@
 		defer a.timer.Stop()
 	}
 	c.sends++
+	a.recordPrefix()
 	res, err := c.gateway.client.Send(ctx, to.Server.Address, a.request())
 	if err != nil {
 		return a.handleSendError(err)
@@ -224,6 +225,7 @@
 		a.finish(pool.Rejected, strconv.Itoa(res.Status)+" not run")
 		return a.retryOrFail(false, fault.New(fault.Unavailable, "backend server %s rejected the request", a.assigned.Server.ID))
 	}
+	a.recordCached(res.Header.Get(headerNames.CachedTokens))
 	c.possibleRuns++
 	if res.Header.Get(headerNames.Signature) == "" {
 		a.finish(pool.Failed, strconv.Itoa(res.Status)+" without signature")
--- a/internal/coordination/gateway/call.go
+++ b/internal/coordination/gateway/call.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"oleanderrack.example/oleanderrack/internal/coordination/pool"
+	"oleanderrack.example/oleanderrack/internal/coordination/prefix"
 	"oleanderrack.example/oleanderrack/pkg/catalog"
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
@@ -37,6 +38,7 @@
 	catalogVersion uint64
 	route          *catalog.Route
 	parts          []string // of its prompt, those that others may share
+	prompt         prefix.Prompt
 	service        string
 	account        *catalog.ClientAccount
 	deadline       time.Time
--- a/internal/coordination/pool/decision.go
+++ b/internal/coordination/pool/decision.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"oleanderrack.example/oleanderrack/internal/coordination/follower"
+	"oleanderrack.example/oleanderrack/internal/coordination/prefix"
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
 
@@ -21,6 +22,8 @@
 	// TargetGap is the longest acceptable time between two events of a stream, or
 	// 0 if there is no limit.
 	TargetGap time.Duration
+	// Prompt holds the prefixes of the prompt that other prompts may share.
+	Prompt prefix.Prompt
 	// Tried holds the ids of backend servers that must not be chosen again.
 	Tried []string
 	// IsRetry reports whether the request was sent before.
@@ -44,6 +47,8 @@
 	// Cost is the expected time to the first answer, multiplied by the cost factors
 	// of failures, of the path and of a cold backend server.
 	Cost time.Duration
+	// Prefix says how a cached prefix of the prompt affected the choice.
+	Prefix PrefixUse
 }
 
 // Wait reports that the request is queued.
--- a/internal/coordination/pool/pool.go
+++ b/internal/coordination/pool/pool.go
@@ -298,6 +298,7 @@
 		svc.lateStarts.add(now)
 	}
 	svc.countAttempt(now, r.IsRetry)
+	p.recordPrefix(now, svc, s, r, a)
 }
 
 // Done records the end of a request at the incarnation of a backend server that
--- a/internal/coordination/pool/server.go
+++ b/internal/coordination/pool/server.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"oleanderrack.example/oleanderrack/internal/coordination/follower"
+	"oleanderrack.example/oleanderrack/internal/coordination/prefix"
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
 
@@ -103,6 +104,7 @@
 	// quota is the number of requests that this entry may have there until the
 	// next exchange, so that entries do not all fill the same free slots.
 	quota int
+	cache prefix.Cache
 }
 
 // setQuota sets the quota to this entry's requests and a part of the free
@@ -223,9 +225,9 @@
 		case !ok || s.reopensSlowly(now):
 			full = full || !leaving
 		case leaving:
-			lastResort = append(lastResort, p.candidate(now, svc, s, slots, cold))
+			lastResort = append(lastResort, p.candidate(now, svc, s, r, slots, cold))
 		default:
-			candidates = append(candidates, p.candidate(now, svc, s, slots, cold))
+			candidates = append(candidates, p.candidate(now, svc, s, r, slots, cold))
 		}
 	}
 	switch {
@@ -284,13 +286,15 @@
 	assign Assign
 }
 
-func (p *Pool) candidate(now time.Time, svc *service, s *server, slots int, cold bool) candidate {
+func (p *Pool) candidate(now time.Time, svc *service, s *server, r *Request, slots int, cold bool) candidate {
 	idle := p.idleCost(now, svc, s, cold)
 	load := float64(ownWeight*s.inFlight+s.peerLoad) / float64(slots)
-	return candidate{idle: idle, fill: float64(s.inFlight+s.peerLoad) / float64(slots), assign: Assign{
+	c := candidate{idle: idle, fill: float64(s.inFlight+s.peerLoad) / float64(slots), assign: Assign{
 		Server: s.info, Running: s.inFlight + s.peerLoad, PeerLoad: s.peerLoad, Cold: cold,
 		Cost: time.Duration(idle * (1 + loadCost*load)),
 	}}
+	p.preferCached(now, svc, s, r, slots, &c)
+	return c
 }
 
 // pick samples a few of the candidates whose idle costs are similar and takes
--- a/internal/coordination/pool/service.go
+++ b/internal/coordination/pool/service.go
@@ -43,6 +43,7 @@
 	lateStarts      window // requests that started too late to be served on time
 	firstAttempts   window
 	retries         window
+	prefixes        prefixes
 }
 
 func (s *service) setSpec(spec *catalog.Service, ok bool) {
--- a/internal/coordination/prefix/retention.go
+++ b/internal/coordination/prefix/retention.go
@@ -47,8 +47,11 @@
 }
 
 func level(memory float64) int {
+	if !(memory > 0.5) {
+		return 0
+	}
 	// Half of the memory is rarely short of room; the ranges above are 1/6 each.
-	return min(memoryLevels-1, max(0, 1+int(math.Floor((memory-0.5)*6))))
+	return 1 + int(min((memory-0.5)*6, memoryLevels-2))
 }
 
 // Record records that cached of expected tokens were found, while the given share
--- a/internal/coordination/prefix/table.go
+++ b/internal/coordination/prefix/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -17,11 +18,14 @@
 	// tableSets and tableWays are the size of a table: 8,192 prefixes.
 	tableSets = 1 << 11
 	tableWays = 4
-	// maxHolders is the number of backend servers recorded per prefix.
-	maxHolders = 4
+	// MaxHolders is the number of backend servers recorded per prefix.
+	MaxHolders = 4
 	// followerWindow is the time over which requests with one prefix are counted.
 	// Loads of other entries are up to 0.8 s old.
 	followerWindow = 800 * time.Millisecond
+	// frequencyWindow is the number of requests over which the frequency of a prefix
+	// is measured.
+	frequencyWindow = 256
 )
 
 // Prompt is the chain of the shareable prefixes of a prompt, the shortest first.
@@ -31,16 +35,16 @@
 	total  float64   // with the part that belongs to the request alone
 }
 
-// ParseParts returns the prefixes of a prompt of a service from a list of the form
+// ParseParts returns the prefixes of a prompt from a list of the form
 // "ID:TOKENS,ID:TOKENS". The last part belongs to the request alone. An invalid
 // part ends the list: what follows it is not shared.
-func ParseParts(service, list string) Prompt {
+func ParseParts(list string) Prompt {
 	var p Prompt
 	if list == "" {
 		return p
 	}
 	entries := strings.Split(list, ",")
-	last := xxhash.Sum64String(service)
+	last := uint64(0)
 	for i, entry := range entries {
 		id, number, _ := strings.Cut(strings.TrimSpace(entry), ":")
 		id = strings.ToLower(strings.TrimSpace(id))
@@ -88,13 +92,18 @@
 type Table struct {
 	sets   [][tableWays]entry
 	lastID uint64
-	tick   uint64
+	tick   uint64 // prompts sent
+	// read is the mean number of tokens of a prompt that were not cached.
+	read float64
 }
 
 type entry struct {
 	hash     uint64
-	lastUsed uint64
-	holders  [maxHolders]holder
+	lastUsed uint64 // tick
+	// uses is the number of prompts with this prefix, where those of
+	// frequencyWindow ticks ago count 1/e.
+	uses    float64
+	holders [MaxHolders]holder
 }
 
 type holder struct {
@@ -136,14 +145,17 @@
 	// Tokens are cached there with the probability Held.
 	Tokens float64
 	Held   float64
+	// Elsewhere is the probability that a backend server to which this entry has not
+	// sent the prefix holds it: where most requests share a prefix, all do.
+	Elsewhere float64
 	// Followers is the number of requests with the prefix that this entry has sent
 	// there recently.
 	Followers float64
 }
 
 // Estimate returns the prefix of p with the most expected tokens in c, which has
-// room for the given number of this entry's tokens.
-func (t *Table) Estimate(now time.Time, p *Prompt, c *Cache, room float64, lifetime time.Duration) Estimate {
+// room for a number of tokens of all entries.
+func (t *Table) Estimate(now time.Time, p *Prompt, c *Cache, room float64, entries int, lifetime time.Duration) Estimate {
 	var best Estimate
 	for i, hash := range p.hashes {
 		e := t.find(hash)
@@ -154,11 +166,14 @@
 		if h == nil {
 			continue
 		}
-		held := Probability(c.arrived-h.arrived, room, now.Sub(h.at), lifetime)
+		held := Probability((c.arrived-h.arrived)*float64(entries), room, now.Sub(h.at), lifetime)
 		if p.tokens[i]*held <= best.Tokens*best.Held {
 			continue
 		}
-		best = Estimate{Tokens: p.tokens[i], Held: held}
+		// Between two prompts with the prefix, an average backend server reads those of
+		// the other requests.
+		between := t.read / min(1, t.uses(e)/frequencyWindow)
+		best = Estimate{Tokens: p.tokens[i], Held: held, Elsewhere: Probability(between, room, 0, 0)}
 		if now.Sub(h.windowStart) < followerWindow {
 			best.Followers = h.followers
 		}
@@ -166,6 +181,11 @@
 	return best
 }
 
+// uses returns the present number of uses of e.
+func (t *Table) uses(e *entry) float64 {
+	return e.uses * math.Exp(-float64(t.tick-e.lastUsed)/frequencyWindow)
+}
+
 // Sent records that p was sent to a backend server that had cached tokens of it.
 func (t *Table) Sent(now time.Time, p *Prompt, c *Cache, cached float64) {
 	if c.id == 0 {
@@ -173,7 +193,12 @@
 		c.id = t.lastID
 	}
 	t.tick++
-	c.arrived += max(0, p.total-cached)
+	read := max(0, p.total-cached)
+	c.arrived += read
+	if t.read == 0 {
+		t.read = read
+	}
+	t.read += (read - t.read) / frequencyWindow
 	for _, hash := range p.hashes {
 		t.insert(now, hash, c)
 	}
@@ -191,7 +216,7 @@
 		}
 		*e = entry{hash: hash}
 	}
-	e.lastUsed = t.tick
+	e.uses, e.lastUsed = t.uses(e)+1, t.tick
 	h := e.holder(c)
 	if h == nil {
 		h = &e.holders[0]
--- a/internal/coordination/prefix/weigh.go
+++ b/internal/coordination/prefix/weigh.go
@@ -40,7 +40,8 @@
 	TokensPerSecond float64
 	// Followers is the number of requests with the same prefix that this entry has
 	// sent there since the load behind Wait was reported. Each of Peers other
-	// entries is assumed to have sent as many, each of which adds FollowerWait.
+	// entries, the expected number that prefer the same backend server, is assumed
+	// to have sent as many. Each of those adds FollowerWait.
 	Followers    float64
 	Peers        float64
 	FollowerWait float64
--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -110,6 +110,9 @@
 	// PromptParts lists the parts of the request's prompt, each with its number of
 	// tokens.
 	PromptParts string
+	// CachedTokens is the number of prompt tokens that the backend server had cached;
+	// empty if backend servers do not report it.
+	CachedTokens string
 }
 
 // Request is one request as it is written to the connection.
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -107,6 +107,9 @@
 	// PrefillTokensPerSecond is the number of prompt tokens processed in a
 	// second.
 	PrefillTokensPerSecond float64
+	// PromptCacheTokens is the number of prompt tokens that are kept after their
+	// requests have ended, for prompts with the same prefix; 0 if none are.
+	PromptCacheTokens int
 	// MeanAnswerTokens is the mean length of an answer in tokens.
 	MeanAnswerTokens int
 	// Experts is nil for engines without ranks.
