--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -225,12 +225,12 @@
 		a.finish(pool.Rejected, strconv.Itoa(res.Status)+" not run")
 		return a.retryOrFail(false, fault.New(fault.Unavailable, "backend server %s rejected the request", a.assigned.Server.ID))
 	}
-	a.recordCached(res.Header.Get(headerNames.CachedTokens))
 	c.possibleRuns++
 	if res.Header.Get(headerNames.Signature) == "" {
 		a.finish(pool.Failed, strconv.Itoa(res.Status)+" without signature")
 		return a.retryOrFail(true, fault.New(fault.BackendFailed, "the answer of backend server %s has no signature", a.assigned.Server.ID))
 	}
+	a.recordCached(res.Header.Get(headerNames.CachedTokens))
 	if res.EndsWithConnection {
 		a.witness = c.gateway.client.Watch(a.ctx, a.assigned.Server.Address)
 		defer a.witness.Close()
--- a/internal/coordination/gateway/cached.go
+++ b/internal/coordination/gateway/cached.go
@@ -32,6 +32,9 @@
 	g := a.call.gateway
 	g.metrics.scope.Counter("prefix_tokens_saved").Inc(int64(tokens))
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.pool.RecordCachedTokens(a.call.service, a.assigned, float64(tokens))
+	first := g.pool.RecordCachedTokens(a.call.service, a.assigned, float64(tokens))
+	g.mu.Unlock()
+	if first {
+		g.log.Info("backend servers keep prompts", "service", a.call.service, "backend_server", a.assigned.Server.ID, "cached_tokens", tokens)
+	}
 }
--- a/internal/coordination/pool/cached.go
+++ b/internal/coordination/pool/cached.go
@@ -125,16 +125,17 @@
 
 // RecordCachedTokens records how many prompt tokens a backend server reported as
 // cached for a request assigned to it. A report above 0 shows that the backend
-// servers of the service keep prompts.
-func (p *Pool) RecordCachedTokens(serviceName string, a Assign, tokens float64) {
+// servers of the service keep prompts; it returns whether that is the first one.
+func (p *Pool) RecordCachedTokens(serviceName string, a Assign, tokens float64) (first bool) {
 	svc := p.service(serviceName)
 	s := p.servers[a.Server.ID]
 	if s == nil || s.info.StartedMS != a.Server.StartedMS || !(tokens >= 0) {
-		return
+		return false
 	}
+	first = tokens > 0 && !svc.prefixes.reported
 	svc.prefixes.reported = svc.prefixes.reported || tokens > 0
 	if !svc.retainsPrefixes() {
-		return
+		return first
 	}
 	room, memory := svc.promptCacheTokens(a.Running)
 	svc.prefixes.experience.Record(memory, a.Prefix.known, tokens)
@@ -142,4 +143,5 @@
 		// Half, so that one late eviction is not taken for a lost cache.
 		s.cache.Evict(room / float64(p.entries) / 2)
 	}
+	return first
 }
