runner, entry, routing: tell entries what others have sent to a backend server

A dispatch now carries the hashes of the prompt's blocks, and the head of an answer tells the entry the last eight prompts of other entries there.

--- a/internal/coordination/entry/cached.go
+++ b/internal/coordination/entry/cached.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 
 	"oleanderrack.example/oleanderrack/internal/coordination/routing"
+	"oleanderrack.example/oleanderrack/internal/protocol/peer"
 )
 
 // cachedTokens returns the number of cached prompt tokens that an event of a
@@ -40,3 +41,10 @@
 	defer r.mu.Unlock()
 	r.view.RecordCached(c, service, tokens)
 }
+
+// recordPrompts passes what other entries have sent to a backend server to the view.
+func (r *Role) recordPrompts(c routing.Choice, recent *peer.RecentPrompts) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.view.RecordPrompts(c, recent)
+}
--- a/internal/coordination/entry/send.go
+++ b/internal/coordination/entry/send.go
@@ -58,6 +58,9 @@
 	if a.ledger != nil {
 		m.Key = a.ledger.key
 	}
+	if a.prefix != nil {
+		m.PromptBlocks = a.prefix.Hashes()
+	}
 	if e.Resume {
 		m.Resume = &peer.Resume{Text: string(a.sent.text), Tokens: a.sent.tokens}
 	}
@@ -214,6 +217,9 @@
 			return d.request.brokenInput(fault.From(it.err).WithRan(fault.RanUnknown), false)
 		}
 		d.recordLoad(it.frame)
+		if it.frame.RecentPrompts != nil {
+			d.request.role.recordPrompts(d.choice, it.frame.RecentPrompts)
+		}
 		if in := d.handleFrame(it.frame, more); in != nil {
 			return in
 		}
--- a/internal/coordination/routing/choose.go
+++ b/internal/coordination/routing/choose.go
@@ -239,10 +239,14 @@
 	return distance
 }
 
-// cacheCapacity is the number of this entry's blocks that the cache of a backend
-// server is expected to hold: the blocks of peer entries use the rest.
+// cacheCapacity is the number of blocks in the prefix table that the cache of a
+// backend server is expected to hold. Unless its agent tells what peer entries send,
+// these are this entry's own, and the blocks of peers use the rest.
 func (v *View) cacheCapacity(s *server) uint32 {
 	blocks := float64(s.row.MemoryTokens) * v.cfg.Weights.CacheShare * v.cfg.Weights.BytesPerToken / BlockBytes
+	if s.sharesPrompts {
+		return uint32(min(blocks, maxCacheBlocks))
+	}
 	return uint32(min(blocks/max(v.peers, 1), maxCacheBlocks))
 }
 
--- a/internal/coordination/routing/prefix.go
+++ b/internal/coordination/routing/prefix.go
@@ -53,6 +53,9 @@
 // Blocks returns the number of complete blocks, at most maxBlocks.
 func (p *Prefix) Blocks() int { return p.n }
 
+// Hashes returns the hashes of the complete blocks.
+func (p *Prefix) Hashes() []uint64 { return p.hashes[:p.n] }
+
 func hashText(s string) uint64 { return xxhash.Sum64String(s) }
 
 // mix spreads a hash over all bits (the finalizer of a 64-bit multiply-shift
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -96,6 +96,8 @@
 	// fullUntil is the time until which it counts as full after a refusal for
 	// lack of room.
 	fullUntil time.Time
+	// sharesPrompts is set once its agent has told what other entries send to it.
+	sharesPrompts bool
 	// generation distinguishes the backend servers that use a slot over time.
 	generation uint32
 }
--- a/internal/coordination/runner/answer.go
+++ b/internal/coordination/runner/answer.go
@@ -17,7 +17,9 @@
 	w        *frame.Writer
 	response *http.ResponseController
 	load     func() *peer.Load
-	frames   int
+	// prompts returns the prompts of other entries for the head; nil for none.
+	prompts func() *peer.RecentPrompts
+	frames  int
 }
 
 func newAnswer(w http.ResponseWriter, key *peer.AttemptRef, load func() *peer.Load) *answer {
@@ -36,7 +38,11 @@
 
 func (a *answer) head(status int, header http.Header, stream bool) error {
 	h := &peer.Head{Status: uint32(status), Headers: responseHeaders(header), Stream: stream}
-	return a.write(&peer.AnswerFrame{Frame: &peer.AnswerFrame_Head{Head: h}})
+	f := &peer.AnswerFrame{Frame: &peer.AnswerFrame_Head{Head: h}}
+	if a.prompts != nil {
+		f.RecentPrompts = a.prompts()
+	}
+	return a.write(f)
 }
 
 func (a *answer) chunk(data []byte, text string, tokens uint32) error {
--- a/internal/coordination/runner/backend.go
+++ b/internal/coordination/runner/backend.go
@@ -48,6 +48,7 @@
 	// follower is set for a backend server with ranks of a group.
 	follower *expertmap.Follower
 	orders   chan engineOrder
+	prompts  recentPrompts
 	// loadOrderedAt is when an order to load was last queued.
 	loadOrderedAt time.Time
 }
@@ -156,6 +157,9 @@
 	if b.adm.Incarnation() != a.Incarnation {
 		return false
 	}
+	if a.Incarnation != b.info.Incarnation {
+		b.prompts = recentPrompts{}
+	}
 	changed := b.announcedAt.IsZero() || b.expired || a.Incarnation != b.info.Incarnation ||
 		a.Leaving != b.info.Leaving || a.Temperature != b.info.Temperature || a.Model != b.info.Model || a.Version != b.info.Version
 	b.announceRanks(a)
--- a/internal/coordination/runner/dispatch.go
+++ b/internal/coordination/runner/dispatch.go
@@ -99,6 +99,8 @@
 		j.refuse(err)
 		return
 	}
+	b.addPrompt(req)
+	j.answer.prompts = func() *peer.RecentPrompts { return b.promptNews(req) }
 	j.run(sl)
 }
 
