--- a/internal/coordination/runner/prompts.go
+++ b/internal/coordination/runner/prompts.go
@@ -1,6 +1,8 @@
 package runner
 
 import (
+	"slices"
+
 	"oleanderrack.example/oleanderrack/internal/protocol/peer"
 )
 
@@ -37,7 +39,7 @@
 		return
 	}
 	p.admitted++
-	p.ring[p.admitted%maxRecentPrompts] = recentPrompt{number: p.admitted, entry: entry, blocks: blocks[:min(len(blocks), maxPromptBlocks)]}
+	p.ring[p.admitted%maxRecentPrompts] = recentPrompt{number: p.admitted, entry: entry, blocks: slices.Clone(blocks[:min(len(blocks), maxPromptBlocks)])}
 }
 
 // news returns the prompts that other entries have sent since this entry was last
--- a/internal/coordination/runner/prompts_test.go
+++ b/internal/coordination/runner/prompts_test.go
@@ -1,10 +1,15 @@
 package runner
 
 import (
+	"context"
 	"fmt"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"oleanderrack.example/oleanderrack/internal/protocol/frame"
+	"oleanderrack.example/oleanderrack/internal/protocol/peer"
+	"oleanderrack.example/oleanderrack/internal/standin"
 )
 
 // TestRecentPrompts guards against prompts that are told twice or to the entry that
@@ -65,3 +70,46 @@
 		t.Errorf("%d entries and %d blocks are kept", len(p.told), len(p.ring[0].blocks))
 	}
 }
+
+// TestHeadTellsPrompts guards against prompts of other entries that do not arrive
+// with the head of an answer, and against those of a process that has ended.
+func TestHeadTellsPrompts(t *testing.T) {
+	b := newHarness(t, nil)
+	e := b.engine(standin.EngineConfig{Name: "pool-1", StartWarm: true, Resumes: true})
+	ask := func(id, entry string, block uint64) []uint64 {
+		t.Helper()
+		req := b.completion(id, "pool-1", "prompt "+id, 4)
+		req.Entry, req.PromptBlocks = &peer.Node{Id: entry}, []uint64{block}
+		body, err := b.open(context.Background(), req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer body.Close()
+		var told []uint64
+		for reader := frame.NewReader(body, id, 1); ; {
+			f, err := reader.Read()
+			if err != nil {
+				return told
+			}
+			if f.GetFailure() != nil {
+				t.Fatalf("%s: %v", id, f.GetFailure())
+			}
+			for _, p := range f.RecentPrompts.GetPrompts() {
+				told = append(told, p.Blocks...)
+			}
+		}
+	}
+	var got [][]uint64
+	got = append(got, ask("r1", "e1", 1), ask("r2", "e2", 2), ask("r3", "e1", 3), ask("r4", "e2", 4))
+	incarnation := e.Record().Incarnation
+	e.Apply(standin.Control{ExitAfterTokens: 1, RestartAfterMS: 50})
+	b.dispatch(context.Background(), b.completion("r5", "pool-1", "prompt", 4))
+	b.waitFor("the new process", func() bool {
+		info, announced := b.role.backends.get("pool-1").snapshot()
+		return announced && info.Incarnation != incarnation && b.role.backends.get("pool-1").adm.Incarnation() == info.Incarnation
+	})
+	got = append(got, ask("r6", "e1", 6))
+	if diff := cmp.Diff([][]uint64{nil, {1}, {2}, {3}, nil}, got); diff != "" {
+		t.Error(diff)
+	}
+}
