--- a/internal/coordination/routing/choose.go
+++ b/internal/coordination/routing/choose.go
@@ -376,32 +376,6 @@
 	}
 }
 
-// RecordCached records how many prompt tokens a backend server has reported as
-// cached, for the process that was chosen. The service's experience corrects
-// later estimates. If nothing was left of blocks that this entry had sent there,
-// half of what the cache holds counts as evicted, so that a cache that was lost
-// without a restart is forgotten after two such reports, and one late eviction
-// is not taken for a loss.
-func (v *View) RecordCached(c Choice, service string, cached uint64) {
-	s := v.find(c)
-	if s == nil {
-		return
-	}
-	v.experience(service).Record(c.memory, c.knownTokens, float64(cached))
-	if cached == 0 && c.CachedBytes > 0 {
-		v.prefixes.clock[s.slot] += v.cacheCapacity(s) / 2
-	}
-}
-
-func (v *View) experience(service string) *prefix.Experience {
-	x := v.experiences[service]
-	if x == nil {
-		x = &prefix.Experience{}
-		v.experiences[service] = x
-	}
-	return x
-}
-
 // Contains reports whether the chosen process is still in the view.
 func (v *View) Contains(c Choice) bool { return v.find(c) != nil }
 
