--- a/internal/coordination/entry/send.go
+++ b/internal/coordination/entry/send.go
@@ -58,6 +58,9 @@
 	if a.ledger != nil {
 		m.Key = a.ledger.key
 	}
+	if a.prefix != nil {
+		m.PromptBlocks = a.prefix.Hashes()
+	}
 	if e.Resume {
 		m.Resume = &peer.Resume{Text: string(a.sent.text), Tokens: a.sent.tokens}
 	}
@@ -134,6 +137,9 @@
 	choice   routing.Choice
 	head     *peer.Head
 	buffered answerBuffer
+	// cachedRead is set once the first event has been searched for the number of
+	// cached tokens.
+	cachedRead bool
 }
 
 // answerBuffer holds the first part of an answer that is not a stream, so that
@@ -211,6 +217,9 @@
 			return d.request.brokenInput(fault.From(it.err).WithRan(fault.RanUnknown), false)
 		}
 		d.recordLoad(it.frame)
+		if it.frame.RecentPrompts != nil {
+			d.request.role.recordPrompts(d.choice, it.frame.RecentPrompts)
+		}
 		if in := d.handleFrame(it.frame, more); in != nil {
 			return in
 		}
@@ -311,6 +320,7 @@
 		if !a.w.Began() {
 			a.w.Begin(int(d.head.Status), d.head.Headers, true)
 		}
+		d.recordCached(c.Data)
 		a.sent.add(c)
 	} else if !a.w.Began() {
 		if d.buffered.add(c.Data) {
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -74,6 +74,7 @@
 		defer a.timer.Stop()
 	}
 	c.sends++
+	a.recordPrefix()
 	res, err := c.gateway.client.Send(ctx, to.Server.Address, a.request())
 	if err != nil {
 		return a.handleSendError(err)
@@ -229,6 +230,7 @@
 		a.finish(pool.Failed, strconv.Itoa(res.Status)+" without signature")
 		return a.retryOrFail(true, fault.New(fault.BackendFailed, "the answer of backend server %s has no signature", a.assigned.Server.ID))
 	}
+	a.recordCached(res.Header.Get(headerNames.CachedTokens))
 	if res.EndsWithConnection {
 		a.witness = c.gateway.client.Watch(a.ctx, a.assigned.Server.Address)
 		defer a.witness.Close()
--- a/internal/coordination/pool/choice.go
+++ b/internal/coordination/pool/choice.go
@@ -26,6 +26,7 @@
 	cold bool
 	// hasQuota reports whether the request is within this entry's quota.
 	hasQuota bool
+	prefix   PrefixUse
 }
 
 // groupChoice and domainChoice hold what is the same for all backend servers of a group
@@ -127,6 +128,7 @@
 			server: s, idle: idle, cost: idle * (1 + loadCost*load), fill: float64(s.inFlight+s.peerLoad) / float64(slots),
 			cold: cold, hasQuota: !knowsDemand || !p.isBeyondQuota(s),
 		}
+		p.preferCached(now, svc, s, r, slots, &this)
 		switch {
 		case leaving:
 			c.lastResort = append(c.lastResort, this)
@@ -185,7 +187,7 @@
 
 func (c candidate) assign() Assign {
 	s := c.server
-	return Assign{Server: s.info, Running: s.inFlight + s.peerLoad, PeerLoad: s.peerLoad, Cold: c.cold, Cost: time.Duration(c.cost)}
+	return Assign{Server: s.info, Running: s.inFlight + s.peerLoad, PeerLoad: s.peerLoad, Cold: c.cold, Cost: time.Duration(c.cost), Prefix: c.prefix}
 }
 
 // pick samples a few of the candidates whose idle costs are similar and takes
--- a/internal/coordination/pool/server.go
+++ b/internal/coordination/pool/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"oleanderrack.example/oleanderrack/internal/coordination/follower"
+	"oleanderrack.example/oleanderrack/internal/coordination/prefix"
 )
 
 // Weights and times of the choice.
@@ -105,6 +106,7 @@
 	groupLimit   int // number of requests at which the streams of its group stay on time; 0 if there is none
 	quota        int
 	pastInFlight [reportAgeSteps]int
+	cache        prefix.Cache
 }
 
 // observe records how a request ended.
--- a/internal/coordination/pool/service.go
+++ b/internal/coordination/pool/service.go
@@ -47,6 +47,7 @@
 	returns         returnSchedule
 	medianLatency   time.Duration // of the backend servers; 0 if it is not known
 	ignoreTrust     bool          // too many backend servers are suspect
+	prefixes        prefixes
 }
 
 func (s *service) setSpec(spec *catalog.Service, ok bool) {
--- a/internal/coordination/pool/submit.go
+++ b/internal/coordination/pool/submit.go
@@ -175,4 +175,5 @@
 	svc.started(r)
 	svc.classes.count(r, true)
 	svc.countAttempt(now, r.IsRetry)
+	p.recordPrefix(now, svc, s, r, a)
 }
--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -114,6 +114,9 @@
 	TokenCounts string
 	// LengthHint is the expected number of tokens of the answer.
 	LengthHint string
+	// CachedTokens is the number of prompt tokens that the backend server had cached;
+	// empty if backend servers do not report it.
+	CachedTokens string
 }
 
 // Request is one request as it is written to the connection.
