pool: places held for a moment don't reduce the parts of hard limits

While all entries start, each had many places within the last 3 s, at one of which nearly every one has no part of a small limit. Places that were held for less than 0.5 s can't have been common to all and don't count any more.

--- a/internal/coordination/pool/hard.go
+++ b/internal/coordination/pool/hard.go
@@ -20,6 +20,10 @@
 	// for retries, and placeDelay.
 	coldPlaceMemory = coldWindow + placeDelay
 	placeMemory     = 10*time.Second + placeDelay
+	// minPlaceTime is how long a place must have been held to count after it has been
+	// replaced. While all entries start, the number changes faster; the least part of
+	// all of these places would be 0 for most entries.
+	minPlaceTime = 500 * time.Millisecond
 )
 
 // place is the position of an entry among a number of entries, which share hard limits.
@@ -48,6 +52,7 @@
 
 type recordedPlace struct {
 	place
+	since      time.Time
 	replacedAt time.Time // zero for the newest
 }
 
@@ -59,7 +64,7 @@
 		h.places[n-1].replacedAt = now
 	}
 	h.expire(now)
-	h.places = append(h.places, recordedPlace{place: p})
+	h.places = append(h.places, recordedPlace{place: p, since: now})
 }
 
 func (h *placeHistory) expire(now time.Time) {
@@ -78,12 +83,14 @@
 	return most
 }
 
-// leastPart returns the least part of a limit at any place in the last coldPlaceMemory.
+// leastPart returns the least part of a limit at any place in the last coldPlaceMemory
+// that counts.
 func (h *placeHistory) leastPart(now time.Time, limit int, turn uint64) int {
 	h.expire(now)
 	least := limit
 	for _, p := range h.places {
-		if p.replacedAt.IsZero() || now.Sub(p.replacedAt) <= coldPlaceMemory {
+		counts := now.Sub(p.replacedAt) <= coldPlaceMemory && p.replacedAt.Sub(p.since) >= minPlaceTime
+		if p.replacedAt.IsZero() || counts {
 			least = min(least, p.part(limit, turn))
 		}
 	}
--- a/internal/coordination/pool/hard_test.go
+++ b/internal/coordination/pool/hard_test.go
@@ -135,3 +135,24 @@
 		}
 	})
 }
+
+// TestPlacesAtStart guards against cold backend servers that get no requests while all
+// entries start, because each has had a place without a part among the many that it had.
+func TestPlacesAtStart(t *testing.T) {
+	const entries, limit = 19, 8
+	var histories [entries]placeHistory
+	at := start
+	for n := 1; n <= entries; n++ {
+		for i := range n {
+			histories[i].record(at, place{i, n})
+		}
+		at = at.Add(50 * time.Millisecond)
+	}
+	sum := 0
+	for i := range histories {
+		sum += histories[i].leastPart(at, limit, 5)
+	}
+	if sum != limit {
+		t.Errorf("the parts add up to %d, want %d", sum, limit)
+	}
+}
