pool: an urgent request is not given up while less urgent ones get slots

Late urgent requests were refused as hopeless by a throughput that lags, while less urgent ones with a longer target got the next slots.

--- a/internal/coordination/pool/queue.go
+++ b/internal/coordination/pool/queue.go
@@ -209,6 +209,12 @@
 	return len(s.queue) > 0 && s.queue[len(s.queue)-1].Priority > r.Priority
 }
 
+// startsLessUrgent reports whether less urgent requests than r have got slots lately, so
+// that r will get one before the next of them, whatever its expected wait.
+func (s *service) startsLessUrgent(now time.Time, r *Request) bool {
+	return r.Priority < maxPriority && s.starts.sum(now, arrivalWindow, r.Priority+1, maxPriority) > 0
+}
+
 // arrivalRate is the rate of new requests up to a priority that could be served on
 // time, with the refused ones that are expected back.
 func (s *service) arrivalRate(now time.Time, priority int) float64 {
--- a/internal/coordination/pool/returns.go
+++ b/internal/coordination/pool/returns.go
@@ -173,7 +173,7 @@
 // that. A request that comes back too early keeps its time.
 func (p *Pool) promiseReturn(now time.Time, svc *service, r *Request, least time.Duration) time.Duration {
 	if r.due.After(now) {
-		return max(minRetryAfter, r.due.Sub(now))
+		return max(minRetryAfter, min(p.longestReturn(now, r), r.due.Sub(now)))
 	}
 	after := p.returnAfter(now, svc, r, least)
 	if !r.IsRetry {
--- a/internal/coordination/pool/service.go
+++ b/internal/coordination/pool/service.go
@@ -39,6 +39,7 @@
 	meanHeld        time.Duration
 	onTimeArrivals  priorityWindows // new requests that could be served on time
 	lateStarts      priorityWindows // requests that started too late to be served on time
+	starts          priorityWindows
 	firstAttempts   window
 	retries         window
 	sizes           workModel
@@ -194,8 +195,11 @@
 	return total
 }
 
-// minPriority is that of the most urgent requests.
-const minPriority = math.MinInt
+// minPriority and maxPriority are those of the most and the least urgent requests.
+const (
+	minPriority = math.MinInt
+	maxPriority = math.MaxInt
+)
 
 // priorityWindows counts requests over time, by priority.
 type priorityWindows map[int]*window
--- a/internal/coordination/pool/submit.go
+++ b/internal/coordination/pool/submit.go
@@ -45,11 +45,11 @@
 	expected := svc.expectedWait(now, r, ahead, p.entries)
 	switch {
 	case now.Add(expected).Before(r.latest):
-	case ahead == 0 && len(svc.queue) == 0 && now.Before(r.latest) && p.isIdle(now, svc, r):
+	case len(svc.queue) == 0 && now.Before(r.latest) && p.isIdle(now, svc, r):
 		expected = 0
 	case svc.displaceLarger(now, r, ahead, p.entries):
 		ahead--
-	case now.Before(r.latest) && svc.displaceLessUrgent(r):
+	case now.Before(r.latest) && (svc.displaceLessUrgent(r) || svc.startsLessUrgent(now, r)):
 	default:
 		svc.classes.count(r, false)
 		return p.refuse(now, svc, r, fault.Overloaded, QueueTooLong, expected)
@@ -104,6 +104,9 @@
 	newlyLate := svc.reorder(now)
 	kept := svc.queue[:0]
 	full := false
+	// held is the most urgent priority of which a late request has to wait, so that
+	// those that can be served on time find slots. Less urgent requests wait too.
+	held := maxPriority
 	patience := svc.patience()
 	for _, r := range svc.queue {
 		wasOvertaken := len(kept) > 0 && kept[0].Priority < r.Priority
@@ -114,7 +117,11 @@
 			decisions = append(decisions, QueuedDecision{Request: r, Decision: refusal})
 			continue
 		}
-		if !full && (!r.late || p.mayStartLate(now, svc, r)) {
+		mayStart := !full && r.Priority <= held
+		if mayStart && r.late && !p.mayStartLate(now, svc, r) {
+			mayStart, held = false, r.Priority
+		}
+		if mayStart {
 			switch c := p.choose(now, svc, r).(type) {
 			case Assign:
 				p.assign(now, svc, r, c)
@@ -153,7 +160,7 @@
 	if !r.late {
 		left = time.Duration(hopelessFactor * float64(left))
 	}
-	if expected < left || svc.displaceLessUrgent(r) {
+	if expected < left || svc.displaceLessUrgent(r) || svc.startsLessUrgent(now, r) {
 		return Refuse{}, false
 	}
 	return p.refuse(now, svc, r, fault.Overloaded, QueueTooLong, expected), true
@@ -173,6 +180,7 @@
 		svc.lateStarts.add(now, r.Priority)
 	}
 	svc.started(r)
+	svc.starts.add(now, r.Priority)
 	svc.classes.count(r, true)
 	svc.countAttempt(now, r.IsRetry)
 }
