--- a/internal/coordination/gateway/call.go
+++ b/internal/coordination/gateway/call.go
@@ -134,12 +134,17 @@
 	if ctx.Err() != nil {
 		return c.contextEnded()
 	}
-	decision := c.gateway.acquire(ctx, c.poolRequest(begin))
+	request := c.poolRequest(begin)
+	decision := c.gateway.acquire(ctx, request)
 	c.waited += time.Since(begin)
+	if back := request.Return(); back != pool.Newcomer {
+		c.gateway.metrics.count("requests_returned", back.String())
+	}
 	switch d := decision.(type) {
 	case pool.Assign:
 		return c.attempt(ctx, d)
 	case pool.Refuse:
+		c.gateway.metrics.retryAfter.RecordDuration(d.RetryAfter)
 		return c.fail(fault.New(d.Kind, "service %s: %s, %d waiting, %d running, %s",
 			c.service, d.Reason, d.Waiting, d.Running, describeWait(d)).WithRetryAfter(d.RetryAfter), d.Reason.String())
 	}
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -255,8 +255,9 @@
 // has changed since the last call.
 func (g *Gateway) logConditions(now time.Time) {
 	g.mu.Lock()
-	conditions := g.pool.Conditions(now, g.targetGap)
+	conditions, estimates := g.pool.Conditions(now, g.targetGap), g.pool.SizeEstimates()
 	g.mu.Unlock()
+	g.metrics.updateSizes(estimates)
 	states := make(map[pool.Subject]pool.State, len(conditions))
 	for _, condition := range conditions {
 		states[condition.Subject] = condition.State
--- a/internal/coordination/gateway/metrics.go
+++ b/internal/coordination/gateway/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"oleanderrack.example/oleanderrack/internal/coordination/pool"
 	"oleanderrack.example/oleanderrack/pkg/catalog"
 )
 
@@ -18,6 +19,7 @@
 	timeToComplete map[catalog.Kind]tally.Histogram
 	queueWait      map[catalog.Kind]tally.Histogram
 	attemptTime    map[catalog.Kind]tally.Histogram
+	retryAfter     tally.Histogram
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -27,6 +29,7 @@
 		attemptTime: map[catalog.Kind]tally.Histogram{},
 	}
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 12)
+	m.retryAfter = scope.Histogram("retry_after_seconds", buckets)
 	for _, kind := range []catalog.Kind{catalog.NonIdempotent, catalog.Idempotent, catalog.Streaming} {
 		tagged := scope.Tagged(map[string]string{"kind": kind.String()})
 		m.timeToFirst[kind] = tagged.Histogram("first_answer_seconds", buckets)
@@ -37,6 +40,16 @@
 	return m
 }
 
+// updateSizes sets the gauges of how well the sizes that callers give predict the work,
+// by service.
+func (m *metrics) updateSizes(estimates map[string]pool.SizeEstimate) {
+	for service, e := range estimates {
+		tagged := m.scope.Tagged(map[string]string{"service": service})
+		tagged.Gauge("size_hint_trust").Update(e.Trust)
+		tagged.Gauge("size_estimate_error").Update(e.Error)
+	}
+}
+
 // count increments the counter with the given reason label.
 func (m *metrics) count(name, reason string) {
 	m.scope.Tagged(map[string]string{"reason": reason}).Counter(name).Inc(1)
--- a/internal/coordination/pool/pool.go
+++ b/internal/coordination/pool/pool.go
@@ -43,7 +43,7 @@
 	"oleanderrack.example/oleanderrack/pkg/catalog"
 )
 
-//go:generate go tool stringer -type=Reason,Result,State,SubjectKind -linecomment -output=pool_string.go
+//go:generate go tool stringer -type=Reason,Result,Return,State,SubjectKind -linecomment -output=pool_string.go
 
 // Config holds the settings of a pool. Limits with a zero value are off.
 type Config struct {
--- a/internal/coordination/pool/returns.go
+++ b/internal/coordination/pool/returns.go
@@ -169,6 +169,28 @@
 	return refusal
 }
 
+// Return says whether a request comes back after a refusal.
+type Return uint8
+
+// The returns.
+const (
+	Newcomer Return = iota // newcomer
+	InTime                 // in_time
+	TooEarly               // too_early
+)
+
+// Return returns whether the request came back to this entry after a refusal, once it
+// was submitted. Most requests come back to another entry and count as newcomers.
+func (r *Request) Return() Return {
+	switch {
+	case r.returning:
+		return InTime
+	case !r.due.IsZero():
+		return TooEarly
+	}
+	return Newcomer
+}
+
 // promiseReturn returns after which time a refused request is expected, and records
 // that. A request that comes back too early keeps its time.
 func (p *Pool) promiseReturn(now time.Time, svc *service, r *Request, least time.Duration) time.Duration {
