ranks: popularities seen earlier count only while returns are seen

Cause: copies for popularities seen earlier assume that topics return.

Change: a popularity has returned if it is nearer to one seen earlier than to the one before it; without returns in recent shifts, plans leave the earlier ones out.

--- a/internal/coordination/ranks/seen.go
+++ b/internal/coordination/ranks/seen.go
@@ -12,12 +12,22 @@
 	maxSeen = 10
 	// minSeenCounts is the least number of measurements that make up a popularity.
 	minSeenCounts = 4
+	// returnDistance is the ratio of the distance of a popularity from one seen earlier
+	// to that from the one before it below which the earlier one has returned.
+	returnDistance = 0.7
+	// returnWeight is the weight of a shift in the share of shifts that bring an
+	// earlier popularity back, and minReturnShare the share from which on popularities
+	// seen earlier count in plans: one return in the last two shifts.
+	returnWeight   = 0.25
+	minReturnShare = 0.18
 )
 
-// seen remembers popularities between earlier shifts. Callers return to the same
-// topics, so that a later popularity resembles earlier ones. The zero value has seen
-// none.
+// seen remembers popularities between earlier shifts. Where callers return to the same
+// topics, a later popularity resembles earlier ones. Where they do not, copies for
+// earlier popularities are wasted, so that these count only while returns are seen. The
+// zero value has seen none.
 type seen struct {
+	returnShare  float64       // share of shifts that brought an earlier popularity back
 	popularities [][][]float64 // latest last; set, expert
 	counts       [][]uint64    // since the latest shift; set, expert
 	measurements int
@@ -58,6 +68,7 @@
 			return
 		}
 	}
+	s.observeReturn(ended)
 	for i, other := range s.popularities {
 		if len(other) != len(ended) || distance(other, ended) < noise {
 			s.popularities = append(s.popularities[:i], s.popularities[i+1:]...)
@@ -68,8 +79,33 @@
 	s.popularities = s.popularities[max(0, len(s.popularities)-maxSeen):]
 }
 
-// shares returns the shares of the experts of a set in all popularities.
+// observeReturn records whether a popularity that has ended resembles one seen before
+// the previous one.
+func (s *seen) observeReturn(ended [][]float64) {
+	if len(s.popularities) < 2 {
+		return
+	}
+	last := len(s.popularities) - 1
+	nearest := math.Inf(1)
+	for _, other := range s.popularities[:last] {
+		nearest = min(nearest, distance(other, ended))
+	}
+	returned := 0.0
+	if nearest < returnDistance*distance(s.popularities[last], ended) {
+		returned = 1
+	}
+	s.returnShare += returnWeight * (returned - s.returnShare)
+}
+
+// areUseful reports whether popularities seen earlier count in plans.
+func (s *seen) areUseful() bool { return s.returnShare >= minReturnShare }
+
+// shares returns the shares of the experts of a set in all popularities, or nil if they
+// do not count.
 func (s *seen) shares(set int) [][]float64 {
+	if !s.areUseful() {
+		return nil
+	}
 	var out [][]float64
 	for _, p := range s.popularities {
 		out = append(out, p[set])
@@ -106,8 +142,11 @@
 }
 
 // seenSkew returns the mean skew of a map over all sets and popularities seen, or 0 if
-// there are none.
+// there are none that count.
 func (p *popularity) seenSkew(spec catalog.Experts, current Map) float64 {
+	if !p.seen.areUseful() {
+		return 0
+	}
 	skew := 0.0
 	for _, shares := range p.seen.popularities {
 		for set := range current {
