--- a/internal/coordination/pool/callers_test.go
+++ b/internal/coordination/pool/callers_test.go
@@ -109,7 +109,6 @@
 			break
 		}
 	}
-	p.retryAfter[d.RetryAfter.Truncate(100*time.Millisecond)]++
 	left := c.deadline.Sub(now)
 	switch {
 	case c.ignores && c.tries <= 3:
--- a/internal/coordination/pool/load_test.go
+++ b/internal/coordination/pool/load_test.go
@@ -14,17 +14,15 @@
 
 // kindLoad is the load of one kind of stream.
 type kindLoad struct {
-	name         string
-	priority     int
-	perSecond    float64
-	meanPrompt   float64
-	targetFirst  time.Duration
-	burst        float64 // factor of the rate from burstFrom to burstTo
-	burstFrom    time.Duration
-	burstTo      time.Duration
-	worth        float64
-	resends      int  // immediate resends of callers that ignore Retry-After
-	ignoresShare bool // all callers of the kind ignore it
+	name        string
+	priority    int
+	perSecond   float64
+	meanPrompt  float64
+	targetFirst time.Duration
+	burst       float64 // factor of the rate from burstFrom to burstTo
+	burstFrom   time.Duration
+	burstTo     time.Duration
+	worth       float64
 }
 
 // load is a deployment and what its callers do, played by play without a network.
@@ -87,65 +85,30 @@
 	return l
 }
 
-// tally counts what callers of one kind got.
-type tally struct {
-	submitted, onTime, late, refused, left int
-	// lateFirst are the late ones whose first event was late, lateResent those of them
-	// that were sent again.
-	lateFirst, lateResent int
-	// resent counts the refused requests that were sent again when they were told to,
-	// and resentRefused those of them that were refused again.
-	resent, resentRefused int
-	// idleRefusals are refusals while under half of all slots were taken.
-	idleRefusals int
-	// unfair are refusals while a less urgent request went on waiting at the entry.
-	unfair int
-	// gaveUp counts requests that had no answer at their deadline.
-	gaveUp int
-	// ignored counts the callers that resend at once, ignoredCredit what they got.
-	ignored                      int
-	ignoredCredit, obeyingCredit float64
-	// bySize counts requests and those answered for the largest tenth, the next fifth
-	// and the others.
-	bySize, servedBySize [3]int
-	byAccount            map[int][2]int // submitted, answered
-}
-
-// credit is the mean credit of a request.
-func (t *tally) credit() float64 {
-	return (float64(t.onTime) + loadLateWorth*float64(t.late)) / float64(max(1, t.submitted))
-}
-
-func (t *tally) String() string {
-	return fmt.Sprintf("%d: %.3f, %d on time, %d late (%d first, %d resent), %d refused, %d left, %d gave up, %d resent, %d of them refused, %d idle refusals, %d unfair; obeying %.3f, ignoring %.3f",
-		t.submitted, t.credit(), t.onTime, t.late, t.lateFirst, t.lateResent, t.refused, t.left, t.gaveUp, t.resent, t.resentRefused, t.idleRefusals, t.unfair,
-		t.obeyingCredit/float64(max(1, t.submitted-t.ignored)), t.ignoredCredit/float64(max(1, t.ignored)))
-}
-
 // loadCaller is one request of a caller, over all its tries.
 type loadCaller struct {
-	kind             int
-	id               string
-	account          int
-	hint             size.Hint
-	class            int
-	arrived          time.Time
-	deadline         time.Time
-	events           int
-	prompt           int
-	ignores, leaves  bool
-	tries            int
-	request          *Request
-	entry            int
-	done             bool
-	late             bool
-	unread           float64 // prompt tokens
-	sentAt           time.Time
-	firstAt, lastAt  time.Time
-	got              int
-	server           *loadRank
-	resendAt         time.Time
-	resending, first bool
+	kind            int
+	id              string
+	account         int
+	hint            size.Hint
+	class           int
+	arrived         time.Time
+	deadline        time.Time
+	events          int
+	prompt          int
+	ignores, leaves bool
+	tries           int
+	request         *Request
+	entry           int
+	done            bool
+	late            bool
+	unread          float64 // prompt tokens
+	sentAt          time.Time
+	firstAt, lastAt time.Time
+	got             int
+	server          *loadRank
+	resendAt        time.Time
+	resending       bool
 }
 
 // loadRank is one engine.
@@ -172,7 +135,6 @@
 	pools    []*Pool
 	groups   []*loadGroup
 	ranks    map[string]*loadRank
-	reported []map[string]int
 	history  [][]map[string]int
 	callers  []*loadCaller // that wait or resend
 	requests map[*Request]*loadCaller
@@ -181,9 +143,7 @@
 	evenAt   time.Time
 	skewNow  float64
 	slots    int
-	// refusals counts the Retry-After values by 100 ms.
-	retryAfter map[time.Duration]int
-	// maxGapShare is the share of passes above the target gap.
+	// slowPasses are those above the target gap.
 	passes, slowPasses int
 	// taken sums the taken slots over time, usable all slots.
 	taken, usable float64
@@ -193,7 +153,7 @@
 	p := &player{
 		load: l, random: rand.New(rand.NewPCG(l.seed, 7)), ranks: map[string]*loadRank{}, requests: map[*Request]*loadCaller{},
 		shifts: rand.New(rand.NewPCG(l.seed, 8)), spread: rand.New(rand.NewPCG(l.seed, 9)),
-		shiftAt: start.Add(time.Second), skewNow: evenSkew, slots: l.groups * l.ranks * l.engine.Slots, retryAfter: map[time.Duration]int{},
+		shiftAt: start.Add(time.Second), skewNow: evenSkew, slots: l.groups * l.ranks * l.engine.Slots,
 	}
 	engine := l.engine
 	v := &follower.View{Drained: map[string]bool{}, Entries: l.entries}
@@ -423,39 +383,6 @@
 	return mean * math.Exp(sigma*p.random.NormFloat64()-sigma*sigma/2)
 }
 
-// worth is what all callers got as a part of what they could get.
-func (p *player) worth() float64 {
-	got, possible := 0.0, 0.0
-	for i, t := range p.tallies {
-		got += t.credit() * p.kinds[i].worth * float64(t.submitted)
-		possible += p.kinds[i].worth * float64(t.submitted)
-	}
-	return got / possible
-}
-
-// add adds the counts of another load.
-func (t *tally) add(o *tally) {
-	t.submitted += o.submitted
-	t.onTime += o.onTime
-	t.late += o.late
-	t.lateFirst += o.lateFirst
-	t.lateResent += o.lateResent
-	t.refused += o.refused
-	t.left += o.left
-	t.resent += o.resent
-	t.resentRefused += o.resentRefused
-	t.idleRefusals += o.idleRefusals
-	t.unfair += o.unfair
-	t.gaveUp += o.gaveUp
-	t.ignored += o.ignored
-	t.ignoredCredit += o.ignoredCredit
-	t.obeyingCredit += o.obeyingCredit
-	for i := range t.bySize {
-		t.bySize[i] += o.bySize[i]
-		t.servedBySize[i] += o.servedBySize[i]
-	}
-}
-
 // heavy makes passes as uneven as they are on the heaviest day.
 func heavy(l *load) {
 	l.engine.RequestStepTime = 600 * time.Microsecond
