--- a/internal/coordination/control/role.go
+++ b/internal/coordination/control/role.go
@@ -39,6 +39,7 @@
 	"oleanderrack.example/oleanderrack/internal/state/registry"
 	"oleanderrack.example/oleanderrack/internal/transport/auth"
 	"oleanderrack.example/oleanderrack/internal/transport/client"
+	"oleanderrack.example/oleanderrack/internal/transport/intake"
 	"oleanderrack.example/oleanderrack/internal/transport/metrics"
 	"oleanderrack.example/oleanderrack/internal/transport/server"
 	"oleanderrack.example/oleanderrack/pkg/fault"
@@ -72,7 +73,10 @@
 	}
 	scope, reporter, closer := metrics.New("control")
 	r := &Role{ctx: ctx, logger: logger, closers: []io.Closer{closer}}
-	r.server, err = server.New(server.Config{Listen: s.Listen, Metrics: reporter, Log: logger, Ready: r.ready})
+	r.server, err = server.New(server.Config{
+		Listen: s.Listen, Name: "control", Budget: intake.Host{MemoryMB: s.MemoryMB, FileDescriptors: s.FileDescriptors}.Budget(listenerShare), Scope: scope,
+		Metrics: reporter, Log: logger, Ready: r.ready,
+	})
 	if err != nil {
 		return nil, errors.CombineErrors(err, r.close())
 	}
@@ -173,5 +177,9 @@
 	return r.server.Address()
 }
 
+// listenerShare is the listener's part of the host. Entries and agents
+// keep up to 64 connections each.
+var listenerShare = intake.Share{Headers: 0.05, Connections: 0.2, Descriptors: 0.6}
+
 // transferTimeout bounds the leadership transfer at shutdown.
 const transferTimeout = 3 * time.Second
--- a/internal/coordination/control/settings.go
+++ b/internal/coordination/control/settings.go
@@ -27,6 +27,10 @@
 	// group itself.
 	Control  []string `toml:"control,omitempty"`
 	LogLevel string   `toml:"log_level"`
+	// MemoryMB and FileDescriptors are what the process may use of its host; 0 means
+	// unknown, see package intake.
+	MemoryMB        int `toml:"memory_mb"`
+	FileDescriptors int `toml:"file_descriptors"`
 	// ID is the replica's number. A replica that lost its disk gets a new one.
 	ID         uint64 `toml:"id"`
 	DataFolder string `toml:"data_folder"`
@@ -71,6 +75,9 @@
 			add(f.field, "is missing")
 		}
 	}
+	if s.MemoryMB < 0 || s.FileDescriptors < 0 {
+		add("memory_mb", "and file_descriptors must not be negative")
+	}
 	if s.ID == 0 {
 		add("id", "must not be 0")
 	}
--- a/internal/coordination/entry/role.go
+++ b/internal/coordination/entry/role.go
@@ -39,6 +39,7 @@
 	"oleanderrack.example/oleanderrack/internal/coordination/routing"
 	"oleanderrack.example/oleanderrack/internal/protocol/caller"
 	"oleanderrack.example/oleanderrack/internal/protocol/peer"
+	"oleanderrack.example/oleanderrack/internal/transport/intake"
 	"oleanderrack.example/oleanderrack/internal/transport/metrics"
 	"oleanderrack.example/oleanderrack/internal/transport/server"
 	"oleanderrack.example/oleanderrack/pkg/fault"
@@ -84,6 +85,11 @@
 // quarter of it.
 const maxBufferedBodyBytes = 64 << 20
 
+// listenerShare is the listener's part of the host. Of 512 MB, which
+// is assumed if the settings give none, it allows 4,369 connections, more than the
+// requests in flight and waiting by default.
+var listenerShare = intake.Share{Headers: 0.05, Connections: 0.2, Descriptors: 0.45}
+
 // dependencies holds what a Role needs besides its settings.
 type dependencies struct {
 	connect   Connect
@@ -110,7 +116,8 @@
 	}
 	var err error
 	r.server, err = server.New(server.Config{
-		Listen: s.Listen, Metrics: reporter, Log: log.Named("server"), Ready: r.ready, Settle: s.DrainSettle.Duration,
+		Listen: s.Listen, Name: "entry", Budget: intake.Host{MemoryMB: s.MemoryMB, FileDescriptors: s.FileDescriptors}.Budget(listenerShare), Scope: scope,
+		Metrics: reporter, Log: log.Named("server"), Ready: r.ready, Settle: s.DrainSettle.Duration,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/coordination/entry/settings.go
+++ b/internal/coordination/entry/settings.go
@@ -26,6 +26,10 @@
 	Control        []string            `toml:"control"`
 	ControlRegions map[string][]string `toml:"control_regions,omitempty"`
 	LogLevel       string              `toml:"log_level"`
+	// MemoryMB and FileDescriptors are what the process may use of its host; 0 means
+	// unknown, see package intake.
+	MemoryMB        int `toml:"memory_mb"`
+	FileDescriptors int `toml:"file_descriptors"`
 	// MaxInFlight bounds the requests being answered, QueueLimit those that
 	// wait.
 	MaxInFlight int `toml:"max_in_flight"`
@@ -76,6 +80,7 @@
 		add(len(addresses) > 0 && !slices.ContainsFunc(addresses, isNoAddress), "control_regions."+region+": addresses must be host:port")
 	}
 	add(hclog.LevelFromString(s.LogLevel) != hclog.NoLevel, "log_level: must be trace, debug, info, warn, error or off")
+	add(s.MemoryMB >= 0 && s.FileDescriptors >= 0, "memory_mb and file_descriptors: must not be negative")
 	add(s.MaxInFlight > 0, "max_in_flight: must be at least 1")
 	add(s.QueueLimit >= 0, "queue_limit: must not be negative")
 	add(s.BufferBytesPerStream >= 4<<10 && s.BufferBytesPerStream <= maxStreamBytes, "buffer_bytes_per_stream: must be 4096 to 65536")
--- a/internal/coordination/gateway/admit.go
+++ b/internal/coordination/gateway/admit.go
@@ -1,8 +1,8 @@
 package gateway
 
 import (
-	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -13,6 +13,7 @@
 	"oleanderrack.example/oleanderrack/internal/coordination/quarantine"
 	"oleanderrack.example/oleanderrack/internal/protocol/backend"
 	"oleanderrack.example/oleanderrack/internal/transport/hop"
+	"oleanderrack.example/oleanderrack/internal/transport/intake"
 	"oleanderrack.example/oleanderrack/pkg/catalog"
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
@@ -100,6 +101,14 @@
 	return nil
 }
 
+// bodyDeadline returns when the body must be complete.
+func bodyDeadline(arrived, deadline time.Time) time.Time {
+	if latest := arrived.Add(intake.BodyTimeout); latest.Before(deadline) {
+		return latest
+	}
+	return deadline
+}
+
 // readBody buffers the body, since it may have to be sent more than once.
 func (c *call) readBody(limit int64) *fault.Error {
 	if limit <= 0 {
@@ -112,19 +121,18 @@
 	if c.request.ContentLength > limit {
 		return fault.New(fault.TooLarge, "the body has %d bytes, at most %d are accepted", c.request.ContentLength, limit)
 	}
-	reserved := c.request.ContentLength
-	if reserved < 0 {
-		reserved = limit
-	}
-	if !c.gateway.bodies.reserve(reserved) {
-		return fault.New(fault.BufferLimit, "the memory for request bodies is exhausted").WithRetryAfter(admitRetryAfter)
-	}
-	c.reserved = reserved
-	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, limit))
+	c.held = c.gateway.bodies.Attach(c.writer, c.request)
+	// The deadline bounds the read: a caller that stops sending holds memory.
+	http.NewResponseController(c.writer).SetReadDeadline(bodyDeadline(c.arrived, c.deadline))
+	body, err := intake.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, limit), c.request.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return fault.New(fault.TooLarge, "the body has more than %d bytes", limit)
+	case errors.Is(err, intake.ErrShortage):
+		return fault.New(fault.BufferLimit, "the memory for request bodies is exhausted").WithRetryAfter(admitRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return fault.New(fault.RequestTimeout, "the body was not complete within the time limit")
 	case err != nil:
 		return fault.Wrap(err, fault.Cancelled, "the body could not be read").WithRan(fault.RanNo)
 	}
--- a/internal/coordination/gateway/call.go
+++ b/internal/coordination/gateway/call.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"oleanderrack.example/oleanderrack/internal/coordination/pool"
+	"oleanderrack.example/oleanderrack/internal/transport/intake"
 	"oleanderrack.example/oleanderrack/pkg/catalog"
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
@@ -42,7 +43,7 @@
 	deadline       time.Time
 	body           []byte
 	hasBody        bool
-	reserved       int64
+	held           *intake.Body // nil without a body
 
 	tried      []string
 	attemptLog []string // one element for each attempt
@@ -83,7 +84,9 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{gateway: g, writer: w, request: r, arrived: time.Now()}
 	out := c.serve()
-	g.bodies.release(c.reserved)
+	if c.held != nil {
+		c.held.Release()
+	}
 	c.report(out)
 	if _, ok := out.(truncated); ok {
 		// Abort the connection, so that the caller sees that the answer is
--- a/internal/coordination/gateway/fake_test.go
+++ b/internal/coordination/gateway/fake_test.go
@@ -21,6 +21,7 @@
 	"oleanderrack.example/oleanderrack/internal/coordination/follower"
 	"oleanderrack.example/oleanderrack/internal/coordination/pool"
 	"oleanderrack.example/oleanderrack/internal/protocol/backend"
+	"oleanderrack.example/oleanderrack/internal/transport/intake"
 	"oleanderrack.example/oleanderrack/pkg/catalog"
 )
 
@@ -176,7 +177,7 @@
 	t.Cleanup(cancel)
 	scope := tally.NewTestScope("", nil)
 	g := New(ctx, Config{
-		HeaderNames: headerNames, MaxBufferedBodyBytes: 1 << 20,
+		HeaderNames: headerNames, Bodies: intake.NewBodies(1 << 20),
 		Pool: pool.Config{Random: rand.New(rand.NewPCG(1, 1)), RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second},
 	}, hclog.NewNullLogger(), scope)
 	route := func(prefix string, kind catalog.Kind) catalog.Route {
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -45,6 +45,7 @@
 	"oleanderrack.example/oleanderrack/internal/coordination/pool"
 	"oleanderrack.example/oleanderrack/internal/coordination/quarantine"
 	"oleanderrack.example/oleanderrack/internal/protocol/backend"
+	"oleanderrack.example/oleanderrack/internal/transport/intake"
 	"oleanderrack.example/oleanderrack/internal/transport/logging"
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
@@ -76,8 +77,8 @@
 	// the time of the last contact.
 	MaxStaleness      time.Duration
 	LastQuorumContact func() time.Time
-	// MaxBufferedBodyBytes bounds the total bytes of buffered request bodies.
-	MaxBufferedBodyBytes int64
+	// Bodies bounds the total bytes of buffered request bodies.
+	Bodies *intake.Bodies
 	// MaxBufferedAnswerBytes bounds the total bytes of answers that are buffered, but
 	// for a few of each answer. An answer that does not fit is forwarded while it is
 	// read, and a larger event breaks its stream. 0 sets no limit.
@@ -93,7 +94,7 @@
 	log     hclog.Logger
 	client  *backend.Client
 	metrics *metrics
-	bodies  byteBudget
+	bodies  *intake.Bodies
 	answers byteBudget
 	guard   *quarantine.Guard
 
@@ -132,7 +133,7 @@
 	}
 	g := &Gateway{
 		cfg: cfg, log: log, client: backend.New(cfg.HeaderNames), metrics: newMetrics(scope),
-		bodies:    byteBudget{limit: cfg.MaxBufferedBodyBytes},
+		bodies:    cfg.Bodies,
 		answers:   byteBudget{limit: cfg.MaxBufferedAnswerBytes},
 		guard:     quarantine.NewGuard(),
 		pool:      pool.New(cfg.Pool),
--- a/internal/coordination/runner/runner.go
+++ b/internal/coordination/runner/runner.go
@@ -48,6 +48,7 @@
 	"oleanderrack.example/oleanderrack/internal/protocol/engine"
 	"oleanderrack.example/oleanderrack/internal/protocol/peer"
 	"oleanderrack.example/oleanderrack/internal/transport/auth"
+	"oleanderrack.example/oleanderrack/internal/transport/intake"
 	"oleanderrack.example/oleanderrack/internal/transport/metrics"
 	"oleanderrack.example/oleanderrack/internal/transport/server"
 	"oleanderrack.example/oleanderrack/pkg/fault"
@@ -100,6 +101,10 @@
 	connected chan struct{}
 }
 
+// listenerShare is the listener's part of the host. Entries keep a
+// connection for each request that they have sent.
+var listenerShare = intake.Share{Headers: 0.05, Connections: 0.2, Descriptors: 0.45}
+
 // controlHeaderTimeout bounds the wait for the header of a response from
 // control.
 const controlHeaderTimeout = 5 * time.Second
@@ -136,7 +141,8 @@
 	}
 	r.backends = newBackends(r.now)
 	srv, err := server.New(server.Config{
-		Listen: s.Listen, Metrics: reporter, Log: log.Named("server"), Ready: r.ready, WriteBuffer: sendBufferBytes,
+		Listen: s.Listen, Name: "runner", Budget: intake.Host{MemoryMB: s.MemoryMB, FileDescriptors: s.FileDescriptors}.Budget(listenerShare), Scope: scope,
+		Metrics: reporter, Log: log.Named("server"), Ready: r.ready, WriteBuffer: sendBufferBytes,
 	})
 	if err != nil {
 		stop()
--- a/internal/coordination/runner/settings.go
+++ b/internal/coordination/runner/settings.go
@@ -21,6 +21,10 @@
 	TokenFile     string   `toml:"token_file"`
 	Control       []string `toml:"control"`
 	LogLevel      string   `toml:"log_level"`
+	// MemoryMB and FileDescriptors are what the process may use of its host; 0 means
+	// unknown, see package intake.
+	MemoryMB        int `toml:"memory_mb"`
+	FileDescriptors int `toml:"file_descriptors"`
 	// BufferBytesPerStream bounds the bytes buffered for one slow reader, and
 	// BufferBytesTotal those for all of them.
 	BufferBytesPerStream int `toml:"buffer_bytes_per_stream"`
@@ -65,6 +69,7 @@
 		demand(isHostPort(c), "control: %q is no host:port", c)
 	}
 	demand(hclog.LevelFromString(s.LogLevel) != hclog.NoLevel, "log_level: %q must be trace, debug, info, warn, error or off", s.LogLevel)
+	demand(s.MemoryMB >= 0 && s.FileDescriptors >= 0, "memory_mb and file_descriptors: must not be negative")
 	demand(s.BufferBytesPerStream >= minBufferPerStream, "buffer_bytes_per_stream: must be at least %d", minBufferPerStream)
 	demand(s.BufferBytesTotal >= s.BufferBytesPerStream && s.BufferBytesTotal <= maxBufferTotal,
 		"buffer_bytes_total: must be from buffer_bytes_per_stream to %d", maxBufferTotal)
--- /dev/null
+++ b/internal/transport/intake/intake.go
@@ -0,0 +1,199 @@
+/*
+Package intake bounds what callers make a process hold before their requests are
+complete.
+
+# Concept
+
+A caller that has not sent a complete request costs memory: its connection, the bytes
+of its header section and, at many times their size, the fields that net/http parses
+from them. A [Listener] accounts for these against a [Budget] of its own, so that
+pressure on one listener leaves the others alone. It follows each connection through the
+phases of its requests: fresh (no byte yet), header (a header section is incomplete),
+body (the header section is complete, the body is not), served and idle.
+
+A header section has a limit in bytes and in time ([Limits]), which may change while the
+listener serves, and a few empty lines may precede it. When the budget is short, the
+connections with the oldest incomplete header sections give way, then those with the
+oldest incomplete bodies. A connection that has completed its request is never closed in
+favour of another one. The decision is the ledger's, which knows no network.
+
+A refused connection is answered with 431, 408 or 503 if its request line is complete,
+and closed. None of these requests has run. Refusals are counted by listener and reason,
+and logged at most once in ten seconds for each reason.
+
+[Bodies] bounds the bodies that handlers read, in the same way: the slowest one gives way.
+
+# Use
+
+	socket, err := intake.Listen(address, intake.Config{Name: "callers", Budget: budget, ...})
+	srv := &http.Server{Handler: handler}
+	socket.Configure(srv)
+	err = srv.Serve(socket)
+*/
+package intake
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+)
+
+const (
+	// DefaultHeaderBytes and DefaultHeaderTimeout hold before there is a configuration,
+	// and where it sets no limit. No caller within the limits of a deployment (16,384
+	// bytes, 3 s) reaches them.
+	DefaultHeaderBytes   = 64 << 10
+	DefaultHeaderTimeout = 10 * time.Second
+	// maxHeaderBytes bounds the limit of a configuration. It is below that of net/http,
+	// which answers beyond the budget.
+	maxHeaderBytes = 512 << 10
+	// freshTimeout bounds the time to the first byte of a connection. Callers may open
+	// connections before they need them.
+	freshTimeout = 10 * time.Second
+	// BodyTimeout bounds the time for a whole request. 4 MiB take it at 1.2 Mbit/s.
+	BodyTimeout = 30 * time.Second
+	// maxEmptyLines is the number of empty lines that may precede a request line.
+	maxEmptyLines = 8
+	// logInterval is the least time between two log lines of one reason.
+	logInterval = 10 * time.Second
+)
+
+// Limits bound one header section. Zero fields select the defaults.
+type Limits struct {
+	HeaderBytes   int
+	HeaderTimeout time.Duration
+}
+
+func (l Limits) withDefaults() Limits {
+	if l.HeaderBytes <= 0 {
+		l.HeaderBytes = DefaultHeaderBytes
+	}
+	l.HeaderBytes = min(l.HeaderBytes, maxHeaderBytes)
+	if l.HeaderTimeout <= 0 {
+		l.HeaderTimeout = DefaultHeaderTimeout
+	}
+	return l
+}
+
+// Config configures a Listener.
+type Config struct {
+	// Name is the listener's name in log lines and counters.
+	Name   string
+	Budget Budget
+	// IdleTimeout bounds the time between two requests of a connection.
+	IdleTimeout time.Duration
+	// WriteTimeout bounds the time for writing an answer, unless the handler sets a
+	// deadline. 0 sets no limit.
+	WriteTimeout time.Duration
+	Log          hclog.Logger
+	Scope        tally.Scope
+}
+
+// Listener accepts connections within a budget. Use Listen.
+type Listener struct {
+	*net.TCPListener
+	cfg    Config
+	limits atomic.Pointer[Limits]
+
+	// mu guards ledger, the state of all connections, and logged.
+	mu     sync.Mutex
+	ledger *ledger
+	logged [reasonCount]logState
+}
+
+type logState struct {
+	last  time.Time
+	count int
+}
+
+// Listen opens a listener at a TCP address.
+func Listen(address string, cfg Config) (*Listener, error) {
+	socket, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if cfg.Scope == nil {
+		cfg.Scope = tally.NoopScope
+	}
+	if cfg.Log == nil {
+		cfg.Log = hclog.NewNullLogger()
+	}
+	l := &Listener{TCPListener: socket.(*net.TCPListener), cfg: cfg, ledger: newLedger(cfg.Budget)}
+	l.SetLimits(Limits{})
+	return l, nil
+}
+
+// SetLimits replaces the limits of header sections that begin or go on after it.
+func (l *Listener) SetLimits(limits Limits) {
+	limits = limits.withDefaults()
+	l.limits.Store(&limits)
+}
+
+// Configure sets the limits of a server that serves l, and the hook with which l follows
+// its connections.
+func (l *Listener) Configure(srv *http.Server) {
+	srv.ReadHeaderTimeout = freshTimeout
+	srv.ReadTimeout = BodyTimeout
+	srv.WriteTimeout = l.cfg.WriteTimeout
+	srv.IdleTimeout = l.cfg.IdleTimeout
+	srv.MaxHeaderBytes = 2 * maxHeaderBytes
+	srv.ConnState = func(c net.Conn, state http.ConnState) {
+		if c, ok := c.(*Conn); ok {
+			c.setState(state)
+		}
+	}
+}
+
+// Accept returns the next connection that the budget has room for. Others are closed.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		socket, err := l.AcceptTCP()
+		if err != nil {
+			return nil, err
+		}
+		c := &Conn{TCPConn: socket, listener: l}
+		c.account.owner = c
+		l.mu.Lock()
+		evicted, ok := l.ledger.open(&c.account)
+		l.evict(evicted)
+		l.mu.Unlock()
+		if ok {
+			return c, nil
+		}
+		l.refused(tooManyConnections)
+		socket.Close()
+	}
+}
+
+// evict ends the reads of connections that give way, whose goroutines close them. The
+// caller holds l.mu.
+func (l *Listener) evict(evicted []*account) {
+	for _, a := range evicted {
+		a.owner.evicted.Store(true)
+		a.owner.TCPConn.SetReadDeadline(longAgo)
+	}
+}
+
+// refused counts a refusal, and logs it unless its reason was logged lately.
+func (l *Listener) refused(r reason) {
+	l.cfg.Scope.Tagged(map[string]string{"listener": l.cfg.Name, "reason": r.String()}).Counter("intake_refusals").Inc(1)
+	now := time.Now()
+	l.mu.Lock()
+	s := &l.logged[r]
+	s.count++
+	count := s.count
+	due := now.Sub(s.last) >= logInterval
+	if due {
+		*s = logState{last: now}
+	}
+	connections, held := l.ledger.connections, l.ledger.held
+	l.mu.Unlock()
+	if due {
+		l.cfg.Log.Warn("connections refused", "listener", l.cfg.Name, "reason", r.String(), "count", count, "connections", connections, "held_bytes", held)
+	}
+}
--- a/internal/transport/server/server.go
+++ b/internal/transport/server/server.go
@@ -22,15 +22,14 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/labstack/echo/v4"
-)
+	"github.com/uber-go/tally/v4"
 
-// Limits of the HTTP server.
-const (
-	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
+	"oleanderrack.example/oleanderrack/internal/transport/intake"
 )
 
+// idleTimeout bounds the time between two requests of a connection.
+const idleTimeout = 2 * time.Minute
+
 // Config configures a Server.
 type Config struct {
 	// Listen is the host:port to listen on.
@@ -43,6 +42,11 @@
 	// connections, within which load balancers detect that the process is
 	// draining.
 	Settle time.Duration
+	// Name is the listener's name in log lines and counters, and Budget bounds its
+	// connections and their header sections.
+	Name   string
+	Budget intake.Budget
+	Scope  tally.Scope
 	// WriteBuffer bounds the bytes that the kernel buffers for a connection with a
 	// slow reader; 0 leaves the system's default, which is a few MB.
 	WriteBuffer int
@@ -52,14 +56,16 @@
 type Server struct {
 	Echo     *echo.Echo
 	cfg      Config
-	listener net.Listener
+	listener *intake.Listener
 	draining atomic.Bool
 }
 
 // New opens the listener, so that Address is valid before Run, and registers the
 // common routes.
 func New(cfg Config) (*Server, error) {
-	l, err := net.Listen("tcp", cfg.Listen)
+	l, err := intake.Listen(cfg.Listen, intake.Config{
+		Name: cfg.Name, Budget: cfg.Budget, IdleTimeout: idleTimeout, Log: cfg.Log.Named("intake"), Scope: cfg.Scope,
+	})
 	if err != nil {
 		return nil, errors.Wrap(err, "server: listen")
 	}
@@ -82,12 +88,10 @@
 // Settle, refuses new connections, and returns when no request is in flight.
 func (s *Server) Run(ctx context.Context) error {
 	srv := &http.Server{
-		Handler:           s.Echo,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          s.cfg.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		Handler:  s.Echo,
+		ErrorLog: s.cfg.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
+	s.listener.Configure(srv)
 	if s.cfg.WriteBuffer > 0 {
 		srv.ConnContext = s.setWriteBuffer
 	}
@@ -108,7 +112,7 @@
 
 // setWriteBuffer sets the size of a new connection's send buffer.
 func (s *Server) setWriteBuffer(ctx context.Context, c net.Conn) context.Context {
-	if tcp, ok := c.(*net.TCPConn); ok {
+	if tcp, ok := c.(interface{ SetWriteBuffer(int) error }); ok {
 		if err := tcp.SetWriteBuffer(s.cfg.WriteBuffer); err != nil {
 			s.cfg.Log.Debug("send buffer size could not be set", "error", err)
 		}
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -69,6 +69,7 @@
 	BadSettings                   // bad_settings
 	CorruptData                   // corrupt_data
 	ForeignData                   // foreign_data
+	RequestTimeout                // request_timeout
 	kindCount         = iota
 )
 
@@ -125,6 +126,7 @@
 	BadSettings:       {http.StatusInternalServerError, RanNo},
 	CorruptData:       {http.StatusInternalServerError, RanUnknown},
 	ForeignData:       {http.StatusInternalServerError, RanNo},
+	RequestTimeout:    {http.StatusRequestTimeout, RanNo},
 }
 
 // Status returns the HTTP status of a kind.
--- a/pkg/fault/fault_string.go
+++ b/pkg/fault/fault_string.go
@@ -43,11 +43,12 @@
 	_ = x[BadSettings-32]
 	_ = x[CorruptData-33]
 	_ = x[ForeignData-34]
+	_ = x[RequestTimeout-35]
 }
 
-const _Kind_name = "internalbad_requestunauthenticatedforbiddenunknown_servicenot_foundtoo_largedeadline_exceededcancelledrate_limitedoverloadedunavailabledrainingno_leaseno_quorumnot_leaderregion_unreachableconflictkey_in_progresskey_reusedalready_runoutcome_unknownduplicate_attemptstale_incarnationstale_windowstale_fencingbackend_failedstream_brokenchecksum_mismatchretry_budget_spentbuffer_limitquarantinedbad_settingscorrupt_dataforeign_data"
+const _Kind_name = "internalbad_requestunauthenticatedforbiddenunknown_servicenot_foundtoo_largedeadline_exceededcancelledrate_limitedoverloadedunavailabledrainingno_leaseno_quorumnot_leaderregion_unreachableconflictkey_in_progresskey_reusedalready_runoutcome_unknownduplicate_attemptstale_incarnationstale_windowstale_fencingbackend_failedstream_brokenchecksum_mismatchretry_budget_spentbuffer_limitquarantinedbad_settingscorrupt_dataforeign_datarequest_timeout"
 
-var _Kind_index = [...]uint16{0, 8, 19, 34, 43, 58, 67, 76, 93, 102, 114, 124, 135, 143, 151, 160, 170, 188, 196, 211, 221, 232, 247, 264, 281, 293, 306, 320, 333, 350, 368, 380, 391, 403, 415, 427}
+var _Kind_index = [...]uint16{0, 8, 19, 34, 43, 58, 67, 76, 93, 102, 114, 124, 135, 143, 151, 160, 170, 188, 196, 211, 221, 232, 247, 264, 281, 293, 306, 320, 333, 350, 368, 380, 391, 403, 415, 427, 442}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
