--- a/internal/transport/intake/budget.go
+++ b/internal/transport/intake/budget.go
@@ -14,9 +14,9 @@
 	// may exceed a budget.
 	slackDivisor = 4
 	// minConnections and minHeaderBytes keep a listener of a tiny host usable: a header
-	// section of 16 KiB holds 0.75 MB at most.
+	// section of 16 KiB is charged 1.1 MB at most.
 	minConnections = 4
-	minHeaderBytes = 1 << 20
+	minHeaderBytes = 3 << 19
 )
 
 // Host is what a process may use.
--- a/internal/transport/intake/conn.go
+++ b/internal/transport/intake/conn.go
@@ -48,6 +48,10 @@
 	// idleSet is set once the deadline of an idle connection was set.
 	idleSet bool
 	evicted atomic.Bool
+	// over is set once the connection was refused: net/http must not answer too.
+	over atomic.Bool
+	// answered is what is known of the answer to the request.
+	answered atomic.Int32
 	// unwatched is set while the header section is complete.
 	unwatched atomic.Bool
 }
@@ -91,9 +95,9 @@
 	limits := *l.limits.Load()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.account.phase == fresh || c.account.phase == idle {
+	if c.account.phase == fresh || c.account.phase.isIdle() {
 		c.begun = time.Now()
-		l.ledger.enter(&c.account, header)
+		l.ledger.enter(c.begun, &c.account, header)
 	}
 	c.section.add(p)
 	why, refused = c.section.exceeds(limits)
@@ -106,7 +110,7 @@
 	}
 	complete := c.section.complete && !refused
 	if complete {
-		l.ledger.enter(&c.account, body)
+		l.ledger.enter(c.begun, &c.account, body)
 		c.unwatched.Store(true)
 	}
 	if !complete && !refused {
@@ -124,6 +128,38 @@
 	return c.TCPConn.SetReadDeadline(t)
 }
 
+// Answers to a request, as far as they are written.
+const (
+	unanswered int32 = iota
+	answeredWell
+	answeredRefusal
+)
+
+// Write writes to the connection, and notes the status of an answer, whose first write
+// begins with the status line.
+func (c *Conn) Write(p []byte) (int, error) {
+	if c.over.Load() {
+		return 0, net.ErrClosed
+	}
+	if c.answered.Load() == unanswered {
+		c.answered.Store(readAnswer(p))
+	}
+	return c.TCPConn.Write(p)
+}
+
+// readAnswer returns what the first bytes of an answer say.
+func readAnswer(p []byte) int32 {
+	const status = len("HTTP/1.1 ")
+	if len(p) < status+3 || p[status] == '1' {
+		return unanswered // such as 100 Continue
+	}
+	switch string(p[status : status+3]) {
+	case "400", "401", "403", "404", "405", "408", "413", "431":
+		return answeredRefusal
+	}
+	return answeredWell
+}
+
 // SetReadDeadline sets the deadline for reads. net/http sets one when a connection
 // becomes idle, one when a next request begins, one when its header section is complete,
 // and none when the request is complete. An incomplete header section keeps its own.
@@ -132,11 +168,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch c.account.phase {
-	case idle:
+	case idle, unproven:
 		if c.idleSet {
 			// The bytes of the next request were read with the former one.
 			c.begun = time.Now()
-			l.ledger.enter(&c.account, header)
+			l.ledger.enter(c.begun, &c.account, header)
 			t = c.begun.Add(l.limits.Load().HeaderTimeout)
 		}
 		c.idleSet = true
@@ -147,7 +183,7 @@
 			// The body was complete before the connection gave way.
 			l.ledger.keep(&c.account)
 			c.evicted.Store(false)
-			l.ledger.enter(&c.account, served)
+			l.ledger.enter(c.begun, &c.account, served)
 		}
 	}
 	return c.setDeadline(t)
@@ -161,15 +197,18 @@
 		l.mu.Lock()
 		// The end of the section was not seen if its first bytes were read with the
 		// former request.
-		if p := c.account.phase; p == header || p == idle || p == fresh {
-			l.ledger.enter(&c.account, body)
+		if p := c.account.phase; p == header || p == fresh || p.isIdle() {
+			now := time.Now()
+			l.ledger.enter(now, &c.account, body)
 			c.unwatched.Store(true)
-			c.setDeadline(time.Now().Add(BodyTimeout))
+			c.setDeadline(now.Add(l.bodyTimeout))
 		}
 		l.mu.Unlock()
 	case http.StateIdle:
 		l.mu.Lock()
-		l.ledger.finish(&c.account)
+		c.account.proven = c.account.proven || c.answered.Load() == answeredWell
+		c.answered.Store(unanswered)
+		l.ledger.finish(time.Now(), &c.account)
 		c.section, c.idleSet = section{midway: true}, false
 		c.unwatched.Store(false)
 		l.mu.Unlock()
@@ -180,6 +219,7 @@
 // makes net/http close the connection.
 func (c *Conn) refuse(why reason, buffer []byte) error {
 	l := c.listener
+	c.over.Store(true)
 	l.refused(why)
 	l.mu.Lock()
 	answer := c.section.lines > 0 && why.status() != 0
--- a/internal/transport/intake/intake.go
+++ b/internal/transport/intake/intake.go
@@ -14,8 +14,10 @@
 A header section has a limit in bytes and in time ([Limits]), which may change while the
 listener serves, and a few empty lines may precede it. When the budget is short, the
 connections with the oldest incomplete header sections give way, then those with the
-oldest incomplete bodies. A connection that has completed its request is never closed in
-favour of another one. The decision is the ledger's, which knows no network.
+oldest incomplete bodies. New connections also take the place of idle ones whose requests
+were all refused for what the caller sent (400, 401, 404 and the like), and of those that
+are idle for longer than callers keep them. Any other connection that has completed its
+request is never closed in favour of another one. The decision is the ledger's, which knows no network.
 
 A refused connection is answered with 431, 408 or 503 if its request line is complete,
 and closed. None of these requests has run. Refusals are counted by listener and reason,
@@ -49,6 +51,9 @@
 	// bytes, 3 s) reaches them.
 	DefaultHeaderBytes   = 64 << 10
 	DefaultHeaderTimeout = 10 * time.Second
+	// DefaultIdleTimeout is when idle connections may give way. Callers close theirs
+	// after at most 15 s.
+	DefaultIdleTimeout = 20 * time.Second
 	// maxHeaderBytes bounds the limit of a configuration. It is below that of net/http,
 	// which answers beyond the budget.
 	maxHeaderBytes = 512 << 10
@@ -67,6 +72,9 @@
 type Limits struct {
 	HeaderBytes   int
 	HeaderTimeout time.Duration
+	// IdleTimeout is the time after which an idle connection may give way to another
+	// one. It is not closed for its age alone.
+	IdleTimeout time.Duration
 }
 
 func (l Limits) withDefaults() Limits {
@@ -77,6 +85,9 @@
 	if l.HeaderTimeout <= 0 {
 		l.HeaderTimeout = DefaultHeaderTimeout
 	}
+	if l.IdleTimeout <= 0 {
+		l.IdleTimeout = DefaultIdleTimeout
+	}
 	return l
 }
 
@@ -99,6 +110,8 @@
 	*net.TCPListener
 	cfg    Config
 	limits atomic.Pointer[Limits]
+	// bodyTimeout is BodyTimeout but in tests.
+	bodyTimeout time.Duration
 
 	// mu guards ledger, the state of all connections, and logged.
 	mu     sync.Mutex
@@ -123,7 +136,7 @@
 	if cfg.Log == nil {
 		cfg.Log = hclog.NewNullLogger()
 	}
-	l := &Listener{TCPListener: socket.(*net.TCPListener), cfg: cfg, ledger: newLedger(cfg.Budget)}
+	l := &Listener{TCPListener: socket.(*net.TCPListener), cfg: cfg, bodyTimeout: BodyTimeout, ledger: newLedger(cfg.Budget)}
 	l.SetLimits(Limits{})
 	return l, nil
 }
@@ -132,13 +145,16 @@
 func (l *Listener) SetLimits(limits Limits) {
 	limits = limits.withDefaults()
 	l.limits.Store(&limits)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ledger.maxIdle = limits.IdleTimeout
 }
 
 // Configure sets the limits of a server that serves l, and the hook with which l follows
 // its connections.
 func (l *Listener) Configure(srv *http.Server) {
 	srv.ReadHeaderTimeout = freshTimeout
-	srv.ReadTimeout = BodyTimeout
+	srv.ReadTimeout = l.bodyTimeout
 	srv.WriteTimeout = l.cfg.WriteTimeout
 	srv.IdleTimeout = l.cfg.IdleTimeout
 	srv.MaxHeaderBytes = 2 * maxHeaderBytes
@@ -159,7 +175,7 @@
 		c := &Conn{TCPConn: socket, listener: l}
 		c.account.owner = c
 		l.mu.Lock()
-		evicted, ok := l.ledger.open(&c.account)
+		evicted, ok := l.ledger.open(time.Now(), &c.account)
 		l.evict(evicted)
 		l.mu.Unlock()
 		if ok {
--- a/internal/transport/intake/ledger.go
+++ b/internal/transport/intake/ledger.go
@@ -1,24 +1,35 @@
 package intake
 
-import "container/list"
+import (
+	"container/list"
+	"time"
+)
 
 // phase is the state of a connection.
 type phase int32
 
 const (
-	fresh  phase = iota // no byte has arrived
-	header              // a header section is incomplete
-	body                // the header section is complete, the body may not be
-	served              // the request is complete
-	idle                // the answer is complete, and no byte of a next request has arrived
+	fresh    phase = iota // no byte has arrived
+	header                // a header section is incomplete
+	body                  // the header section is complete, the body may not be
+	served                // the request is complete
+	idle                  // the answer is complete, and no byte of a next request has arrived
+	unproven              // idle, and no answer so far but refusals of what the caller sent
 	closed
 	phaseCount = iota
 )
 
+// isIdle reports whether a connection has no request.
+func (p phase) isIdle() bool { return p == idle || p == unproven }
+
 // account is what a connection holds of the budget.
 type account struct {
-	owner   *Conn // nil in tests
-	phase   phase
+	owner *Conn // nil in tests
+	phase phase
+	since time.Time // when it entered the phase
+	// proven is set once a request was answered with other than a refusal of what the
+	// caller sent.
+	proven  bool
 	held    int64
 	element *list.Element // in the list of its phase, for those that may give way
 	leaving bool          // it gives way, and still holds what it held
@@ -30,7 +41,10 @@
 // A connection that gives way holds its memory until it is closed. Meanwhile others may
 // exceed the budget by a part of it, see Budget.
 type ledger struct {
-	budget      Budget
+	budget Budget
+	// maxIdle is the time after which an idle connection gives way. Callers within the
+	// limits close theirs before.
+	maxIdle     time.Duration
 	connections int
 	held        int64
 	// leavingConnections and leavingHeld are the parts of those that give way.
@@ -40,8 +54,8 @@
 }
 
 func newLedger(b Budget) *ledger {
-	l := &ledger{budget: b}
-	for _, p := range []phase{fresh, header, body} {
+	l := &ledger{budget: b, maxIdle: DefaultIdleTimeout}
+	for _, p := range []phase{fresh, header, body, idle, unproven} {
 		l.phases[p] = list.New()
 	}
 	return l
@@ -49,9 +63,12 @@
 
 // open takes a new connection, which is fresh. It returns those that give way to it. If
 // ok is false, it has no room.
-func (l *ledger) open(a *account) (evicted []*account, ok bool) {
+func (l *ledger) open(now time.Time, a *account) (evicted []*account, ok bool) {
 	for l.connections-l.leavingConnections >= l.budget.Connections {
-		victim := l.oldest(fresh, header, body)
+		victim := l.oldest(fresh, header, body, unproven)
+		if victim == nil {
+			victim = l.overdue(now)
+		}
 		if victim == nil {
 			return evicted, false
 		}
@@ -62,7 +79,7 @@
 		return evicted, false
 	}
 	l.connections++
-	l.enter(a, fresh)
+	l.enter(now, a, fresh)
 	return evicted, true
 }
 
@@ -90,18 +107,22 @@
 }
 
 // enter moves a connection to a phase.
-func (l *ledger) enter(a *account, p phase) {
+func (l *ledger) enter(now time.Time, a *account, p phase) {
 	l.unlink(a)
-	a.phase = p
+	a.phase, a.since = p, now
 	if queue := l.phases[p]; queue != nil && !a.leaving {
 		a.element = queue.PushBack(a)
 	}
 }
 
 // finish ends the request of a connection, which holds nothing from now on.
-func (l *ledger) finish(a *account) {
+func (l *ledger) finish(now time.Time, a *account) {
 	l.drop(a)
-	l.enter(a, idle)
+	if a.proven {
+		l.enter(now, a, idle)
+	} else {
+		l.enter(now, a, unproven)
+	}
 }
 
 // remove forgets a connection that is closed.
@@ -114,7 +135,8 @@
 	if a.leaving {
 		l.leavingConnections--
 	}
-	l.enter(a, closed)
+	l.unlink(a)
+	a.phase = closed
 }
 
 func (l *ledger) drop(a *account) {
@@ -135,6 +157,14 @@
 	return nil
 }
 
+// overdue returns the connection that has been idle for longest, if that is too long.
+func (l *ledger) overdue(now time.Time) *account {
+	if a := l.oldest(idle); a != nil && now.Sub(a.since) > l.maxIdle {
+		return a
+	}
+	return nil
+}
+
 func (l *ledger) leave(a *account) {
 	l.unlink(a)
 	a.leaving = true
