gateway: test of a body that stalls; 408 says that the request has not run

Cause: no time limit held for a body, so that a caller that stopped in the middle kept its reservation for good.

--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -389,6 +391,32 @@
 	}
 }
 
+// TestStalledBody guards against a caller that stops in the middle of its body, and is
+// waited for without end, or answered as if the request might have run.
+func TestStalledBody(t *testing.T) {
+	f := newFakeServer(t, ok)
+	s := newTestGateway(t, f)
+	conn, err := net.Dial("tcp", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(10 * time.Second))
+	fmt.Fprint(conn, "POST /once/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r1\r\nX-Key: key\r\nX-Remaining: 200\r\nContent-Length: 100\r\n\r\nabc")
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil || res.StatusCode != http.StatusRequestTimeout || !strings.Contains(string(body), `"ran":"no"`) {
+		t.Errorf("status %d, body %s, error %v, want 408 and not run", res.StatusCode, body, err)
+	}
+	if n := len(f.requests()); n != 0 {
+		t.Errorf("%d requests were sent to the backend server", n)
+	}
+}
+
 // TestCallerLeaves guards against work that continues after the caller has
 // disconnected.
 func TestCallerLeaves(t *testing.T) {
