--- a/internal/transport/intake/conn.go
+++ b/internal/transport/intake/conn.go
@@ -144,6 +144,8 @@
 	if c.answered.Load() == unanswered {
 		c.answered.Store(readAnswer(p))
 	}
+	c.account.writing.Store(time.Now().UnixNano())
+	defer c.account.writing.Store(0)
 	return c.TCPConn.Write(p)
 }
 
--- a/internal/transport/intake/intake.go
+++ b/internal/transport/intake/intake.go
@@ -16,8 +16,8 @@
 connections with the oldest incomplete header sections give way, then those with the
 oldest incomplete bodies. New connections also take the place of idle ones whose requests
 were all refused for what the caller sent (400, 401, 404 and the like), and of those that
-are idle for longer than callers keep them. Any other connection that has completed its
-request is never closed in favour of another one. The decision is the ledger's, which knows no network.
+are idle for longer than callers keep them, or do not read their answers. Any other
+connection that has completed its request is never closed in favour of another one. The decision is the ledger's, which knows no network.
 
 A refused connection is answered with 431, 408 or 503 if its request line is complete,
 and closed. None of these requests has run. Refusals are counted by listener and reason,
@@ -192,6 +192,9 @@
 	for _, a := range evicted {
 		a.owner.evicted.Store(true)
 		a.owner.TCPConn.SetReadDeadline(longAgo)
+		if a.phase == served {
+			a.owner.TCPConn.SetWriteDeadline(longAgo)
+		}
 	}
 }
 
--- a/internal/transport/intake/ledger.go
+++ b/internal/transport/intake/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,6 +20,10 @@
 	phaseCount = iota
 )
 
+// stuckAfter is the time after which a write that is not accepted counts as stuck: the
+// caller has read nothing, and the buffers of both hosts are full.
+const stuckAfter = 2 * time.Second
+
 // isIdle reports whether a connection has no request.
 func (p phase) isIdle() bool { return p == idle || p == unproven }
 
@@ -29,7 +34,9 @@
 	since time.Time // when it entered the phase
 	// proven is set once a request was answered with other than a refusal of what the
 	// caller sent.
-	proven  bool
+	proven bool
+	// writing is when the write under way began, in nanoseconds of Unix time, or 0.
+	writing atomic.Int64
 	held    int64
 	element *list.Element // in the list of its phase, for those that may give way
 	leaving bool          // it gives way, and still holds what it held
@@ -55,7 +62,7 @@
 
 func newLedger(b Budget) *ledger {
 	l := &ledger{budget: b, maxIdle: DefaultIdleTimeout}
-	for _, p := range []phase{fresh, header, body, idle, unproven} {
+	for _, p := range []phase{fresh, header, body, served, idle, unproven} {
 		l.phases[p] = list.New()
 	}
 	return l
@@ -69,6 +76,9 @@
 		if victim == nil {
 			victim = l.overdue(now)
 		}
+		if victim == nil {
+			victim = l.stuck(now)
+		}
 		if victim == nil {
 			return evicted, false
 		}
@@ -165,6 +175,17 @@
 	return nil
 }
 
+// stuck returns the first connection whose caller does not read its answer.
+func (l *ledger) stuck(now time.Time) *account {
+	for e := l.phases[served].Front(); e != nil; e = e.Next() {
+		a := e.Value.(*account)
+		if began := a.writing.Load(); began != 0 && now.Sub(time.Unix(0, began)) >= stuckAfter {
+			return a
+		}
+	}
+	return nil
+}
+
 func (l *ledger) leave(a *account) {
 	l.unlink(a)
 	a.leaving = true
--- a/internal/transport/intake/ledger_test.go
+++ b/internal/transport/intake/ledger_test.go
@@ -39,6 +39,8 @@
 			[]action{{"a", "open", 0}, {"a", "serve", 0}, {"b", "open", 0}, {"b", "serve", 0}, {"c", "open", 0}, {"c", "serve", 0}, {"d", "open", 0}, {"d", "serve", 0}, {"e", "open", 0}}, nil, false},
 		"one that is idle for too long gives way": {
 			[]action{{"a", "open", 0}, {"a", "good", 0}, {"b", "open", 0}, {"b", "serve", 0}, {"c", "open", 0}, {"c", "serve", 0}, {"d", "open", 0}, {"d", "serve", 0}, {"", "wait", 0}, {"e", "open", 0}}, []string{"a"}, true},
+		"one that does not read its answer gives way": {
+			[]action{{"a", "open", 0}, {"a", "serve", 0}, {"b", "open", 0}, {"b", "serve", 0}, {"b", "write", 0}, {"c", "open", 0}, {"c", "serve", 0}, {"d", "open", 0}, {"d", "serve", 0}, {"", "wait", 0}, {"c", "write", 0}, {"e", "open", 0}}, []string{"b"}, true},
 		"the oldest header section gives way to bytes": {
 			[]action{{"a", "open", 0}, {"a", "begin", 60}, {"b", "open", 0}, {"b", "begin", 30}, {"c", "open", 0}, {"c", "begin", 20}}, []string{"a"}, true},
 		"one that holds too much itself has no room": {
@@ -85,6 +87,8 @@
 				case "good", "bad":
 					a.proven = do.do == "good"
 					l.finish(now, a)
+				case "write":
+					a.writing.Store(now.UnixNano())
 				case "close":
 					l.remove(a)
 				}
