--- a/internal/transport/intake/intake.go
+++ b/internal/transport/intake/intake.go
@@ -98,6 +98,9 @@
 	Budget Budget
 	// IdleTimeout bounds the time between two requests of a connection.
 	IdleTimeout time.Duration
+	// IdleGivesWay replaces Limits.IdleTimeout, for listeners whose clients have few
+	// connections and can do without an idle one. 0 leaves it.
+	IdleGivesWay time.Duration
 	// WriteTimeout bounds the time for writing an answer, unless the handler sets a
 	// deadline. 0 sets no limit.
 	WriteTimeout time.Duration
@@ -144,6 +147,9 @@
 // SetLimits replaces the limits of header sections that begin or go on after it.
 func (l *Listener) SetLimits(limits Limits) {
 	limits = limits.withDefaults()
+	if l.cfg.IdleGivesWay > 0 {
+		limits.IdleTimeout = l.cfg.IdleGivesWay
+	}
 	l.limits.Store(&limits)
 	l.mu.Lock()
 	defer l.mu.Unlock()
