--- a/internal/coordination/pool/admission_test.go
+++ b/internal/coordination/pool/admission_test.go
@@ -37,37 +37,41 @@
 
 func isDisplaced(r *Request) bool { return r.displaced }
 
-// loads are the loads that are played, and the least worth of what callers must get of
-// it. The figures of the code before are in docs/design/admission-by-value.md.
+// worthNoise is how far the mean worth of four seeds may be from that of sixteen.
+const worthNoise = 0.015
+
+// loads are the loads that are played, and the worth of what callers got of it by the
+// decisions before (docs/design/admission-by-value.md, sixteen seeds): no load may be
+// served worse.
 var loads = map[string]struct {
 	change func(l *load)
-	least  float64
+	before float64
 }{
-	"calm":        {func(l *load) { l.shiftEvery = 0 }, 0.99},
-	"usual":       {func(l *load) {}, 0.97},
-	"bursts":      {func(l *load) { *l = l.withBursts() }, 0.92},
-	"heavy":       {func(l *load) { heavy(l) }, 0.66},
-	"heavy burst": {func(l *load) { heavy(l); *l = l.withBursts() }, 0.61},
-	"two groups":  {func(l *load) { l.groups = 2 }, 0.785},
-	"two, bursts": {func(l *load) { l.groups = 2; *l = l.withBursts() }, 0.71},
-	"two, heavy":  {func(l *load) { heavy(l); l.groups = 2 }, 0.48},
-	"outage":      {func(l *load) { l.outageAt, l.outageFor = 4*time.Second, 3*time.Second }, 0.8},
-	"ignoring":    {func(l *load) { l.groups, l.ignoreShare = 2, 0.2; *l = l.withBursts() }, 0.715},
-	"one":         {func(l *load) { *l = onePriority(3, 24) }, 0.99},
-	"one, 8":      {func(l *load) { *l = onePriority(6, 8) }, 0.97},
-	"one, 96":     {func(l *load) { *l = onePriority(1, 96) }, 0.985},
-	"one, burst":  {func(l *load) { *l = onePriority(3, 24); *l = l.withBursts() }, 0.95},
+	"calm":        {func(l *load) { l.shiftEvery = 0 }, 1.000},
+	"usual":       {func(l *load) {}, 0.987},
+	"bursts":      {func(l *load) { *l = l.withBursts() }, 0.922},
+	"heavy":       {func(l *load) { heavy(l) }, 0.689},
+	"heavy burst": {func(l *load) { heavy(l); *l = l.withBursts() }, 0.591},
+	"two groups":  {func(l *load) { l.groups = 2 }, 0.768},
+	"two, bursts": {func(l *load) { l.groups = 2; *l = l.withBursts() }, 0.696},
+	"two, heavy":  {func(l *load) { heavy(l); l.groups = 2 }, 0.447},
+	"outage":      {func(l *load) { l.outageAt, l.outageFor = 4*time.Second, 3*time.Second }, 0.795},
+	"ignoring":    {func(l *load) { l.groups, l.ignoreShare = 2, 0.2; *l = l.withBursts() }, 0.706},
+	"one":         {func(l *load) { *l = onePriority(3, 24) }, 0.991},
+	"one, 8":      {func(l *load) { *l = onePriority(6, 8) }, 0.975},
+	"one, 96":     {func(l *load) { *l = onePriority(1, 96) }, 0.995},
+	"one, burst":  {func(l *load) { *l = onePriority(3, 24); *l = l.withBursts() }, 0.951},
 	"one, heavy": {func(l *load) {
 		*l = onePriority(3, 24)
 		l.skew, l.unevenFor = 3.2, 1800*time.Millisecond
 		*l = l.withBursts()
-	}, 0.82},
-	"one, short":  {func(l *load) { *l = onePriority(4, 8); l.kinds = l.scaled(1.5) }, 0.79},
-	"one, outage": {func(l *load) { *l = onePriority(3, 24); l.outageAt, l.outageFor = 4*time.Second, 3*time.Second }, 0.82},
+	}, 0.821},
+	"one, short":  {func(l *load) { *l = onePriority(4, 8); l.kinds = l.scaled(1.5) }, 0.813},
+	"one, outage": {func(l *load) { *l = onePriority(3, 24); l.outageAt, l.outageFor = 4*time.Second, 3*time.Second }, 0.812},
 	"leaving": {func(l *load) {
 		l.groups, l.leaveShare, l.leaveAfter = 2, 0.2, 600*time.Millisecond
 		*l = l.withBursts()
-	}, 0.71},
+	}, 0.704},
 }
 
 // playSeeds plays a load with several seeds and returns the mean worth and the sums of
@@ -96,7 +100,7 @@
 	}
 	for name, test := range loads {
 		t.Run(name, func(t *testing.T) {
-			l := ferreira()
+			l := threeGroups()
 			test.change(&l)
 			worth, sums, last := playSeeds(l, seeds)
 			t.Logf("%-11s worth %.3f, %d of %d passes slow, %.2f of the slots taken", name, worth, last.slowPasses, last.passes, last.taken/last.usable)
@@ -122,8 +126,8 @@
 					}
 				}
 			}
-			if worth < test.least {
-				t.Errorf("worth %.3f, want at least %.3f", worth, test.least)
+			if worth < test.before-worthNoise {
+				t.Errorf("worth %.3f, %.3f by the decisions before", worth, test.before)
 			}
 		})
 	}
--- a/internal/coordination/pool/load_test.go
+++ b/internal/coordination/pool/load_test.go
@@ -59,8 +59,8 @@
 	loadAccounts  = 24
 )
 
-// ferreira is a load of the size of the larger deployment on its heaviest day.
-func ferreira() load {
+// threeGroups is a load of the size of the larger deployment on its heaviest day.
+func threeGroups() load {
 	return load{
 		entries: 19, groups: 3, ranks: 24, length: 20 * time.Second, seed: 1,
 		engine: catalog.Engine{
@@ -392,7 +392,7 @@
 // onePriority is a load of the size of the smaller deployment, whose streams have one
 // priority, on groups of a number of ranks.
 func onePriority(groups, ranks int) load {
-	l := ferreira()
+	l := threeGroups()
 	scale := float64(groups*ranks) / 72
 	l.groups, l.ranks, l.entries = groups, ranks, 12
 	l.engine.StepTime, l.engine.RequestStepTime, l.engine.StepsPerPass = 5850*time.Microsecond, 426*time.Microsecond, 6
--- a/internal/coordination/pool/order_test.go
+++ b/internal/coordination/pool/order_test.go
@@ -167,7 +167,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			p := newPlayer(ferreira())
+			p := newPlayer(threeGroups())
 			var m workModel
 			for range 2000 {
 				h := size.Hint{PromptTokens: 700, AnswerTokens: int(p.lognormal(160, 0.6))}
--- a/internal/coordination/pool/uneven_test.go
+++ b/internal/coordination/pool/uneven_test.go
@@ -245,9 +245,9 @@
 // unevenSizes are the plain services of two deployments, and engines whose ranks answer
 // for themselves.
 var unevenSizes = map[string]unevenModel{
-	"dpf":      {entries: 12, servers: 3, slots: 6, work: 30 * time.Millisecond, target: 150 * time.Millisecond, rate: 28.4},
-	"ferreira": {entries: 19, servers: 6, slots: 6, work: 60 * time.Millisecond, target: 300 * time.Millisecond, rate: 32.6},
-	"engines":  {entries: 19, servers: 72, slots: 10, work: 200 * time.Millisecond, target: 400 * time.Millisecond, rate: 304},
+	"3 plain servers": {entries: 12, servers: 3, slots: 6, work: 30 * time.Millisecond, target: 150 * time.Millisecond, rate: 28.4},
+	"6 plain servers": {entries: 19, servers: 6, slots: 6, work: 60 * time.Millisecond, target: 300 * time.Millisecond, rate: 32.6},
+	"engines":         {entries: 19, servers: 72, slots: 10, work: 200 * time.Millisecond, target: 400 * time.Millisecond, rate: 304},
 }
 
 // TestMeasureUneven prints what requests meet while one backend server is in trouble.
@@ -255,7 +255,7 @@
 	if !*measure {
 		t.Skip("a measurement; use -measure")
 	}
-	for _, size := range []string{"dpf", "ferreira", "engines"} {
+	for _, size := range []string{"3 plain servers", "6 plain servers", "engines"} {
 		for _, name := range []string{"sound", "slow by 5", "slow by 12", "failing", "failing .2", "flapping"} {
 			for _, withReports := range []bool{false, true} {
 				m := unevenSizes[size]
@@ -283,7 +283,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			m := unevenSizes["dpf"]
+			m := unevenSizes["3 plain servers"]
 			m.trouble, m.withReports, m.length = test.trouble, true, 10*spellLength
 			f := m.mean(2)
 			t.Logf("%.2f %% met it, %.2f %% failed or late, restored to %.2f", 100*f.troubled, 100*(f.failed+f.late), f.restored)
--- a/internal/coordination/ranks/bench_test.go
+++ b/internal/coordination/ranks/bench_test.go
@@ -11,10 +11,10 @@
 // earlier. A registrar has half a core, and a slow plan delays the change.
 func BenchmarkPlan(b *testing.B) {
 	sizes := deployments()
-	large := sizes["DPF"]
+	large := sizes["150 MB experts"]
 	large.spec.Sets, large.spec.ExpertsPerSet, large.ranks = 8, 252, 63
 	sizes["63 ranks"] = large
-	for _, name := range []string{"Ferreira", "Atlas Cire grown", "63 ranks"} {
+	for _, name := range []string{"420 MB experts", "32 ranks", "63 ranks"} {
 		d := sizes[name]
 		d.topicWeight = 0.35
 		t := newTopics(1, d.spec, d.topicWeight)
--- a/internal/coordination/ranks/model_test.go
+++ b/internal/coordination/ranks/model_test.go
@@ -49,15 +49,15 @@
 		}
 	}
 	return map[string]deployment{
-		"Ferreira": {
+		"420 MB experts": {
 			spec: spec(16, 96, 76*time.Millisecond), ranks: 24, basePass: 60 * time.Millisecond, load: 0.7,
 			shift: 3800 * time.Millisecond, shiftRange: 2200 * time.Millisecond, sampledRequests: 90, topicWeight: 0.35,
 		},
-		"DPF": {
+		"150 MB experts": {
 			spec: spec(16, 96, 27*time.Millisecond), ranks: 24, basePass: 66 * time.Millisecond, load: 0.6,
 			shift: 3400 * time.Millisecond, shiftRange: 1200 * time.Millisecond, sampledRequests: 79, topicWeight: 0.35,
 		},
-		"Atlas Cire grown": {
+		"32 ranks": {
 			spec: spec(12, 128, 8*time.Millisecond), ranks: 32, basePass: 60 * time.Millisecond, load: 0.7,
 			shift: 3 * time.Second, shiftRange: time.Second, sampledRequests: 60, topicWeight: 0.35,
 		},
@@ -409,7 +409,7 @@
 	}
 	const seeds = 3
 	for _, weight := range []float64{0.35, 0.65} {
-		for _, name := range []string{"Ferreira", "DPF", "Atlas Cire grown"} {
+		for _, name := range []string{"420 MB experts", "150 MB experts", "32 ranks"} {
 			d := deployments()[name]
 			d.topicWeight = weight
 			for _, way := range []struct {
--- a/internal/coordination/ranks/step_test.go
+++ b/internal/coordination/ranks/step_test.go
@@ -71,11 +71,11 @@
 }
 
 // TestStepIsShort guards against a change after which the busiest ranks are relieved
-// only once all copies are made: a change at once takes over 0.6 s of copies on the
-// Ferreira figures, during which most streams get a pass over their target.
+// only once all copies are made: a change at once takes over 0.6 s of copies with
+// experts of 420 MB, during which most streams get a pass over their target.
 func TestStepIsShort(t *testing.T) {
 	const bound = 300 * time.Millisecond // of copies, with 76 ms for each
-	d := deployments()["Ferreira"]
+	d := deployments()["420 MB experts"]
 	d.topicWeight = 0.65
 	for seed := range uint64(3) {
 		p, now, current := shiftedPopularity(d, seed)
@@ -115,7 +115,7 @@
 // TestUnknownCosts guards against another decision than before where the catalog does
 // not give what a copy costs.
 func TestUnknownCosts(t *testing.T) {
-	d := deployments()["DPF"]
+	d := deployments()["150 MB experts"]
 	p, _, current := shiftedPopularity(d, 1)
 	b := &Rebalancer{}
 	for name, change := range map[string]func(*deployment){
