pool: short requests are not held back by quotas

Cause: at a plain service with one backend server left, requests of 30 ms were refused (queue_too_long, 0 waiting, 0 running) while half of its slots were free: with 23 entries each one's quota there was 0, and three requests of others, reported up to 0.8 s late, counted as contention.

Change: quotas and the contention rule apply only to services whose requests outlast the exchange of loads.

Measured: TestShortRequests fails before (refuse queue_too_long), passes now.

--- a/internal/coordination/pool/choice.go
+++ b/internal/coordination/pool/choice.go
@@ -126,7 +126,7 @@
 		load := float64(ownWeight*s.inFlight+s.peerLoad) / float64(slots)
 		this := candidate{
 			server: s, idle: idle, cost: idle * (1 + loadCost*load), fill: float64(s.inFlight+s.peerLoad) / float64(slots),
-			cold: cold, hasQuota: !knowsDemand || !p.isBeyondQuota(s),
+			cold: cold, hasQuota: !knowsDemand || !svc.outlastsExchange() || !p.isBeyondQuota(s),
 		}
 		p.preferCached(now, svc, s, r, slots, &this)
 		switch {
@@ -173,7 +173,7 @@
 	case !p.peerLoadsKnown:
 		// Other entries may take their even share too.
 		slots = (slots + p.entries - 1) / p.entries
-	case p.isBeyondQuota(s) && float64(running) >= contendedShare*float64(slots):
+	case svc.outlastsExchange() && p.isBeyondQuota(s) && float64(running) >= contendedShare*float64(slots):
 		return slots, false
 	}
 	return slots, running < slots && (!cold || s.hasColdCapacity(now, p.coldLimit(now, svc.spec.ColdRequestsPerSecond, s.info.ID)))
--- a/internal/coordination/pool/service.go
+++ b/internal/coordination/pool/service.go
@@ -82,6 +82,15 @@
 	return s.catalogHold()
 }
 
+// outlastsExchange reports whether requests are held for longer than the time between
+// two exchanges of loads. Only then do the loads of other entries say what is free now,
+// and quotas are of use: requests of 30 ms have ended long before they are reported, and
+// a few of them would close a backend server to all entries whose quota is 0.
+func (s *service) outlastsExchange() bool {
+	hold := s.expectedHold()
+	return hold == 0 || hold >= exchangeInterval
+}
+
 // catalogHold is how long a request is held according to the catalog, or 0 if it
 // does not say so.
 func (s *service) catalogHold() time.Duration {
