--- a/internal/coordination/pool/share.go
+++ b/internal/coordination/pool/accounts.go
@@ -1,8 +1,8 @@
 package pool
 
-// maxShares bounds the client accounts that are remembered for one service and
+// maxAccounts bounds the client accounts that are remembered for one service and
 // priority. Those that have had no more than their share need no memory.
-const maxShares = 4096
+const maxAccounts = 4096
 
 // accountShares gives client accounts equal shares of the work of one service and
 // priority, by start-time fair queueing: the requests of an account have tags that are
@@ -26,9 +26,9 @@
 	if s.next == nil {
 		s.next = map[string]float64{}
 	}
-	if _, known := s.next[account]; !known && len(s.next) >= maxShares {
+	if _, known := s.next[account]; !known && len(s.next) >= maxAccounts {
 		s.prune()
-		if len(s.next) >= maxShares {
+		if len(s.next) >= maxAccounts {
 			// The account counts as one that has had nothing.
 			return
 		}
--- a/internal/coordination/pool/order_test.go
+++ b/internal/coordination/pool/order_test.go
@@ -129,7 +129,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var s accountShares
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
-			account := fmt.Sprint(rapid.IntRange(0, 2*maxShares).Draw(t, "account"))
+			account := fmt.Sprint(rapid.IntRange(0, 2*maxAccounts).Draw(t, "account"))
 			tag := s.tag(account)
 			if tag < s.virtual {
 				t.Fatal("a tag is behind the virtual time")
@@ -144,11 +144,11 @@
 		}
 	})
 	var s accountShares
-	for i := range 3 * maxShares {
+	for i := range 3 * maxAccounts {
 		s.charge(fmt.Sprint(i), 0, 1)
 	}
-	if len(s.next) > maxShares {
-		t.Errorf("%d accounts are remembered, want at most %d", len(s.next), maxShares)
+	if len(s.next) > maxAccounts {
+		t.Errorf("%d accounts are remembered, want at most %d", len(s.next), maxAccounts)
 	}
 }
 
