--- a/internal/coordination/pool/displace.go
+++ b/internal/coordination/pool/displace.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// lateWorth is the worth to a caller of a late answer relative to one on time;
-	// measured, it is 0.28 to 0.51.
+	// lateWorth is the worth to a caller of a late answer relative to one on time. The
+	// customers put it at 0.28 to 0.51 for their kinds of request.
 	lateWorth = 0.4
 	// displaceFactor is how much less per slot time a queued request must be worth
 	// than a new one that takes its place. Estimates of the work are often off by a
