pool: comments without the figures of their choice

Cause: two comments told how a value or rule was chosen. Measured: no code changed; go vet, go test ./internal/coordination/pool ok.

--- a/internal/coordination/pool/passmodel.go
+++ b/internal/coordination/pool/passmodel.go
@@ -9,8 +9,7 @@
 
 const (
 	// passMargin is the part of the target gap that the expected pass may take where
-	// prompts are counted. In TestCallers with two of three groups, callers get 0.797 of
-	// the worth with 0.8, 0.801 with 0.85 and 0.789 without a limit.
+	// prompts are counted. The rest is for passes that are longer than the mean.
 	passMargin = 0.85
 	// leastLoadShare is the share of the slots below which the load is too low to tell
 	// the work from the fixed part of a pass.
--- a/internal/coordination/pool/queue.go
+++ b/internal/coordination/pool/queue.go
@@ -173,8 +173,7 @@
 // whichever is higher: an entry that sends few requests cannot measure the
 // throughput from its own. A request that cannot be served on time also waits for
 // future arrivals of its priority that can, and for more urgent ones. Others are not
-// refused for arrivals that may not come: in TestCallers with two of three groups that
-// would refuse 0.16 of the least urgent requests instead of 0.08.
+// refused for arrivals that may not come.
 func (s *service) expectedWait(now time.Time, r *Request, ahead, entries int) time.Duration {
 	if len(s.queue) >= maxQueue && !s.hasLessUrgent(r) {
 		return unservableWait
