--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -22,6 +22,7 @@
 	"spot":   spotCase,
 	"poison": poisonCase,
 	"early":  earlyCase,
+	"deep":   deepCase,
 }
 
 func main() {
--- a/review/lab/poison.go
+++ b/review/lab/poison.go
@@ -29,30 +29,10 @@
 	if err := s.serve(firstConfiguration()); err != nil {
 		return nil, err
 	}
-	stop := make(chan struct{})
-	var platform, group sync.WaitGroup
-	for i := range poisonRunners {
-		platform.Go(func() {
-			for incarnation := 0; ; incarnation++ {
-				p, err := s.startRunner(i, runnerConfig{id: fmt.Sprintf("i-%02d%02d", i, incarnation), service: poolName, slots: 12, events: 28, gap: 40 * time.Millisecond, crashing: poisonPart})
-				if err != nil {
-					return
-				}
-				select {
-				case <-p.done:
-				case <-stop:
-					return
-				}
-				select {
-				case <-time.After(poisonDown):
-				case <-stop:
-					return
-				}
-			}
-		})
-	}
+	stop := s.runCrashing(poisonRunners)
 	time.Sleep(3 * time.Second)
 	ids := map[string]bool{}
+	var group sync.WaitGroup
 	group.Go(func() { // sound requests with the same first part
 		for n := range 12 * poisonBatches * 4 {
 			group.Go(func() { s.send(s.hosts[n%3], newStream("/drafts/a", fmt.Sprintf("5c1e07a2:40,e44%05x:674", n))) })
@@ -71,14 +51,45 @@
 		}
 	}
 	group.Wait()
-	close(stop)
-	platform.Wait()
+	stop()
+	return s.judgeCrashes(ids), nil
+}
+
+// runCrashing keeps runners going that the part of a prompt crashes. The function that it
+// returns ends that.
+func (s *system) runCrashing(count int) (end func()) {
+	stop := make(chan struct{})
+	var platform sync.WaitGroup
+	for i := range count {
+		platform.Go(func() {
+			for incarnation := 0; ; incarnation++ {
+				p, err := s.startRunner(i, runnerConfig{id: fmt.Sprintf("i-%02d%02d", i, incarnation), service: poolName, slots: 12, events: 28, gap: 40 * time.Millisecond, crashing: poisonPart})
+				if err != nil {
+					return
+				}
+				select {
+				case <-p.done:
+				case <-stop:
+					return
+				}
+				select {
+				case <-time.After(poisonDown):
+				case <-stop:
+					return
+				}
+			}
+		})
+	}
+	return func() { close(stop); platform.Wait() }
+}
+
+// judgeCrashes counts the requests of ids that reached runners later than contactWindow
+// after the fifth crash.
+func (s *system) judgeCrashes(ids map[string]bool) (broken []string) {
 	var crashes []time.Time
-	var late []string
+	late := 0
 	for _, line := range s.runnersLog() {
 		s.record.add("runners", "%s", line)
-	}
-	for _, line := range s.runnersLog() {
 		f := strings.Fields(line)
 		if len(f) < 4 {
 			continue
@@ -89,12 +100,12 @@
 		case f[2] == "crashes":
 			crashes = append(crashes, at)
 		case f[2] == "arrival" && ids[f[3]] && len(crashes) >= 5 && at.Sub(crashes[4]) > contactWindow:
-			late = append(late, f[3])
+			late++
 		}
 	}
-	s.record.add("result", "%d crashes, %d requests with the part reached runners later than %s after the fifth", len(crashes), len(late), contactWindow)
-	if len(late) > poisonAllowed {
-		return []string{fmt.Sprintf("BUDGET: %d requests with the part that crashes runners reached runners later than %s after the fifth crash, %d crashes in all", len(late), contactWindow, len(crashes))}, nil
+	s.record.add("result", "%d crashes, %d requests with the part reached runners later than %s after the fifth", len(crashes), late, contactWindow)
+	if late > poisonAllowed {
+		broken = append(broken, fmt.Sprintf("BUDGET: %d requests with the part that crashes runners reached runners later than %s after the fifth crash, %d crashes in all", late, contactWindow, len(crashes)))
 	}
-	return nil, nil
+	return broken
 }
