review: one wrong byte of a rank ends the control process

Cause: the rebalancer uses the numbers of experts that ranks report as indexes without a check, in a goroutine that ends the process if it panics.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -23,6 +23,7 @@
 	"poison": poisonCase,
 	"early":  earlyCase,
 	"deep":   deepCase,
+	"spoil":  spoilCase,
 }
 
 func main() {
--- a/review/lab/runner.go
+++ b/review/lab/runner.go
@@ -30,12 +30,19 @@
 	crashing string
 	// One in earlyEvery long requests is answered before it is in; 0 for none.
 	earlyEvery int
+	// group is the name of the group of groupSize ranks that the runner is part of, rank
+	// its own number in it, and spoiled lists which of its lists of experts have a wrong
+	// byte, by their number from 0.
+	group   string
+	rank    int
+	spoiled string
 }
 
 func (c runnerConfig) flags() []string {
 	return []string{"runner", "-id", c.id, "-service", c.service, "-zone", c.zone, "-address", c.address, "-runs", c.runs,
 		"-controls", strings.Join(c.controls, ","), "-slots", strconv.Itoa(c.slots), "-events", strconv.Itoa(c.events),
-		"-work", c.work.String(), "-gap", c.gap.String(), "-unframed=" + strconv.FormatBool(c.unframed), "-crashing", c.crashing, "-early-every", strconv.Itoa(c.earlyEvery)}
+		"-work", c.work.String(), "-gap", c.gap.String(), "-unframed=" + strconv.FormatBool(c.unframed), "-crashing", c.crashing, "-early-every", strconv.Itoa(c.earlyEvery),
+		"-group", c.group, "-rank", strconv.Itoa(c.rank), "-spoiled", c.spoiled}
 }
 
 // runner serves as the pages tell: it drains on SIGTERM, and knows nothing of earlier
@@ -49,6 +56,8 @@
 	running  int
 	draining bool
 	long     int // long requests so far
+	lists    int // lists of experts so far
+	answers  int // answers to calls of the registrars
 	log      *os.File
 }
 
@@ -69,6 +78,9 @@
 	f.BoolVar(&r.unframed, "unframed", false, "")
 	f.StringVar(&r.crashing, "crashing", "", "")
 	f.IntVar(&r.earlyEvery, "early-every", 0, "")
+	f.StringVar(&r.group, "group", "", "")
+	f.IntVar(&r.rank, "rank", 0, "")
+	f.StringVar(&r.spoiled, "spoiled", "", "")
 	f.Parse(args)
 	r.controls, r.start = strings.Split(controls, ","), time.Now()
 	r.born = r.start.UnixMilli()
@@ -109,10 +121,14 @@
 		if r.draining {
 			state = "draining"
 		}
-		body, _ := json.Marshal(map[string]any{
+		beat := map[string]any{
 			"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": r.slots, "state": state, "cold_remaining_ms": 0,
 			"stage": "both", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "sequence": sequence, "born": r.born,
-		})
+		}
+		if r.group != "" {
+			beat["group"], beat["size"] = r.place(), groupSize
+		}
+		body, _ := json.Marshal(beat)
 		for range len(r.controls) {
 			if post(client, r.controls[target], "/oleanderrack/instances/"+r.id+"/heartbeat", body) {
 				if r.draining && acknowledged.IsZero() {
@@ -225,8 +241,8 @@
 	}
 	instance := "Oleanderrack-Instance-Id: " + r.id
 	switch {
-	case req.URL.Path == "/oleanderrack/report":
-		head(conn, http.StatusNotFound, "Content-Length: 0")
+	case strings.HasPrefix(req.URL.Path, "/oleanderrack/"):
+		r.answerRegistrar(conn, req)
 		return true
 	case full:
 		head(conn, http.StatusServiceUnavailable, echo, instance, "Oleanderrack-Not-Executed: 1", "Content-Length: 0")
