review: a disk lost at the first start keeps the system from starting

Cause: the entry of KNOWN-RED, which is still there: the other founders wait for one that has forgotten that it is one.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -24,6 +24,7 @@
 	"early":  earlyCase,
 	"deep":   deepCase,
 	"spoil":  spoilCase,
+	"start":  startCase,
 }
 
 func main() {
