--- a/review/lab/spoil.go
+++ b/review/lab/spoil.go
@@ -36,6 +36,9 @@
 		if trouble && i < 4 {
 			r.spoiled = []string{"0+4+8", "1+5+9", "2+6+10", "3+7+11"}[i]
 		}
+		if err := s.startRelay(i); err != nil {
+			return nil, err
+		}
 		if _, err := s.startRunner(i, r); err != nil {
 			return nil, err
 		}
@@ -89,3 +92,42 @@
 	}
 	return nil, nil
 }
+
+// startRelay starts the relay on the machine of a runner.
+func (s *system) startRelay(i int) error {
+	ip := s.runnerIP(i)
+	h := &host{index: 100 + i, ip: ip, zone: s.zones[i%len(s.zones)], seeds: s.hosts[0].seeds, settings: filepath.Join(s.folder, fmt.Sprintf("side-%d.toml", i))}
+	text := fmt.Sprintf(`node_name = "side-%s-%d"
+role = "relay"
+machine_class = "side"
+serves = ["side"]
+app = %q
+ip_address = %q
+zone = %q
+region = "maghreb"
+internal_port_range = [%d,%d]
+seed_nodes = ["%s"]
+first_start = true
+counts_as_loss = false
+data_directory = ""
+[listen_addresses]
+outbound = %q
+[limits]
+cpu_share = 0.24
+cpu_cores = 1
+memory_mb = 152
+file_descriptors = 2048
+link_speed_mbps = 20.0
+[fault_tolerance]
+machines = 1
+zones = 1
+regions = 0
+[bounds]
+grace_period_s = 8
+`, h.zone, i, s.address(ip, appPort), ip, h.zone, s.first+internalPort, s.first+internalPort+1, strings.Join(h.seeds, `","`), s.address(ip, frontPort))
+	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
+		return err
+	}
+	_, err := s.startRole(h, "relay")
+	return err
+}
