http1: an answer with a line that is no field fails its request

What callers saw: 200 and a body for an answer in whose head a name held a blank, with the framing's own bytes in it ("4\r\nspam\r\n0\r\n\r\n") if the line was to be Transfer-Encoding, and with more than the body if it was Content-Length. An LF before a name made the rest of the head the body. Cause: net/http keeps names with blanks, skips lines without a name, joins folded lines and accepts LF as the end of a line. Change: each line of a head has a token as its name, a value without control bytes, and ends with CR LF. Interim heads are judged as well.

--- a/internal/coordination/gateway/head_test.go
+++ b/internal/coordination/gateway/head_test.go
@@ -129,6 +129,49 @@
 	}
 }
 
+// TestInvalidField guards against an answer being passed on in whose head a line is no
+// field: the line reaches the caller, or the bytes of the framing do if the line was to
+// set it.
+func TestInvalidField(t *testing.T) {
+	const begin = "HTTP/1.1 200 X\r\nX-Request-Id: ID\r\n" + signed
+	const chunked = "\r\n4\r\nspam\r\n0\r\n\r\n"
+	const whole = "Content-Length: 4\r\n\r\nspam"
+	tests := map[string]string{
+		"blank in a name":                  begin + "X Note: a\r\n" + whole,
+		"blank after a name":               begin + "X-Note : a\r\n" + whole,
+		"blank before a name":              begin + " X-Note: a\r\n" + whole,
+		"tab in a name":                    begin + "X\tNote: a\r\n" + whole,
+		"NUL in a name":                    begin + "X\x00Note: a\r\n" + whole,
+		"control byte in a name":           begin + "X\x01Note: a\r\n" + whole,
+		"CR in a name":                     begin + "X\rNote: a\r\n" + whole,
+		"LF before a name":                 begin + "\nX-Note: a\r\n" + whole,
+		"LF in a name":                     begin + "X:\nNote: a\r\n" + whole,
+		"DEL in a name":                    begin + "X\x7fNote: a\r\n" + whole,
+		"byte over 127 in a name":          begin + "X\x80Note: a\r\n" + whole,
+		"separator in a name":              begin + "X(Note: a\r\n" + whole,
+		"no name":                          begin + ": a\r\n" + whole,
+		"no colon":                         begin + "X-Note\r\n" + whole,
+		"first line begins with a blank":   "HTTP/1.1 200 X\r\n X-Note: a\r\nX-Request-Id: ID\r\n" + signed + whole,
+		"folded value":                     begin + "X-Note: a\r\n b\r\n" + whole,
+		"NUL in a value":                   begin + "X-Note: a\x00b\r\n" + whole,
+		"control byte in a value":          begin + "X-Note: a\x01b\r\n" + whole,
+		"CR in a value":                    begin + "X-Note: a\rb\r\n" + whole,
+		"LF in a value":                    begin + "X-Note: a\nX-Other: b\r\n" + whole,
+		"DEL in a value":                   begin + "X-Note: a\x7fb\r\n" + whole,
+		"in an interim head":               "HTTP/1.1 103 X\r\nX Note: a\r\n\r\n" + begin + whole,
+		"blank after Content-Length":       begin + "Content-Length : 4\r\n\r\nspam",
+		"blank after Transfer-Encoding":    begin + "Transfer-Encoding : chunked\r\n" + chunked,
+		"blank before Transfer-Encoding":   begin + " Transfer-Encoding: chunked\r\n" + chunked,
+		"control byte in the framing":      begin + "Transfer-\x01Encoding: chunked\r\n" + chunked,
+		"control byte after the framing":   begin + "Transfer-Encoding\x0b: chunked\r\n" + chunked,
+		"blank in the name of a length":    begin + "Content Length: 4\r\n\r\nspam and more",
+		"blank after the name of a length": begin + "Content-Length : 2\r\n\r\nspam and more",
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) { checkBrokenAnswer(t, text) })
+	}
+}
+
 // TestUnusualAnswer guards against an answer being rejected that the grammar allows.
 func TestUnusualAnswer(t *testing.T) {
 	const id = "X-Request-Id: ID\r\n"
--- a/internal/protocol/http1/head.go
+++ b/internal/protocol/http1/head.go
@@ -74,10 +74,14 @@
 // splitField returns the name and the value of a field line.
 func splitField(line []byte) (name, value []byte, err *Error) {
 	name, value, found := bytes.Cut(line, []byte{':'})
-	if !found {
+	if !found || !isToken(name) {
 		return nil, nil, broken(FieldName, "line without the name of a field: %s", excerpt(line))
 	}
-	return name, bytes.Trim(value, " \t"), nil
+	value = bytes.Trim(value, " \t")
+	if !isFieldValue(value) {
+		return nil, nil, broken(FieldValue, "control byte in a value: %s", excerpt(line))
+	}
+	return name, value, nil
 }
 
 // isFramingField reports whether a field says where the body ends.
--- a/internal/protocol/http1/reader.go
+++ b/internal/protocol/http1/reader.go
@@ -147,7 +147,7 @@
 func (r *Reader) endLine(line []byte) *Error {
 	r.lines++
 	text, ok := bytes.CutSuffix(line, []byte{'\r'})
-	if !ok && r.at == atStatusLine {
+	if !ok && r.at != atTrailer {
 		return broken(r.part(), "line without CR: %s", excerpt(line))
 	}
 	switch r.at {
