http1: an answer whose head names two ends of the body fails its request

What callers saw: 200 and a body where the head had both Content-Length and Transfer-Encoding, or chunks in HTTP/1.0 with the framing's bytes in the body; a 204 with a body was answered as complete. Change: http1 judges the framing fields of a head together, by RFC 9112, section 6: chunked alone, equal lengths only, no body after 1xx and 204.

--- a/internal/coordination/gateway/head_test.go
+++ b/internal/coordination/gateway/head_test.go
@@ -172,6 +172,40 @@
 	}
 }
 
+// TestInvalidFraming guards against an answer being passed on whose head names two ends
+// of the body, or none that can be used.
+func TestInvalidFraming(t *testing.T) {
+	const begin = "HTTP/1.1 200 X\r\nX-Request-Id: ID\r\n" + signed
+	const chunked = "\r\n4\r\nspam\r\n0\r\n\r\n"
+	tests := map[string]string{
+		"two lengths":                       begin + "Content-Length: 4\r\nContent-Length: 2\r\n\r\nspam",
+		"list of lengths":                   begin + "Content-Length: 4, 2\r\n\r\nspam",
+		"negative length":                   begin + "Content-Length: -4\r\n\r\nspam",
+		"length with a sign":                begin + "Content-Length: +4\r\n\r\nspam",
+		"length with letters":               begin + "Content-Length: 4x\r\n\r\nspam",
+		"hexadecimal length":                begin + "Content-Length: 0x4\r\n\r\nspam",
+		"empty length":                      begin + "Content-Length: \r\n\r\nspam",
+		"length beyond 64 bits":             begin + "Content-Length: 18446744073709551620\r\n\r\nspam",
+		"length and chunks":                 begin + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n" + chunked,
+		"chunks and length":                 begin + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n" + chunked,
+		"unknown coding":                    begin + "Transfer-Encoding: xchunked\r\n" + chunked,
+		"coding that is not asked for":      begin + "Transfer-Encoding: gzip, chunked\r\n" + chunked,
+		"chunked twice":                     begin + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" + chunked,
+		"empty coding":                      begin + "Transfer-Encoding: \r\n" + chunked,
+		"chunks in HTTP/1.0":                "HTTP/1.0 200 X\r\nX-Request-Id: ID\r\n" + signed + "Transfer-Encoding: chunked\r\n" + chunked,
+		"204 with a length":                 "HTTP/1.1 204 X\r\nX-Request-Id: ID\r\n" + signed + "Content-Length: 4\r\n\r\nspam",
+		"204 with chunks":                   "HTTP/1.1 204 X\r\nX-Request-Id: ID\r\n" + signed + "Transfer-Encoding: chunked\r\n" + chunked,
+		"interim head with a length":        "HTTP/1.1 103 X\r\nContent-Length: 4\r\n\r\nspam" + begin + "Content-Length: 4\r\n\r\nspam",
+		"not run, with two ends":            "HTTP/1.1 503 X\r\nX-Request-Id: ID\r\nX-Not-Run: 1\r\nContent-Length: 4\r\nContent-Length: 2\r\n\r\nspam",
+		"not run, with a status of 000":     "HTTP/1.1 000 X\r\nX-Request-Id: ID\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nspam",
+		"not run, with a blank in a name":   "HTTP/1.1 503 X\r\nX-Request-Id: ID\r\nX-Not-Run: 1\r\nX Note: a\r\nContent-Length: 4\r\n\r\nspam",
+		"not run, with a blank in this one": "HTTP/1.1 503 X\r\nX-Request-Id: ID\r\nX-Not-Run : 1\r\nContent-Length: 4\r\n\r\nspam",
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) { checkBrokenAnswer(t, text) })
+	}
+}
+
 // TestUnusualAnswer guards against an answer being rejected that the grammar allows.
 func TestUnusualAnswer(t *testing.T) {
 	const id = "X-Request-Id: ID\r\n"
--- a/internal/protocol/http1/head.go
+++ b/internal/protocol/http1/head.go
@@ -99,8 +99,11 @@
 	switch {
 	case length:
 		return h.addLength(value)
+	case coding && (h.chunked || !strings.EqualFold(string(value), "chunked")):
+		// Other codings are never asked for, and chunked is applied once.
+		return broken(Framing, "Transfer-Encoding is not chunked alone: %s", excerpt(value))
 	case coding:
-		h.chunked = h.version > 0 && strings.EqualFold(string(value), "chunked")
+		h.chunked = true
 	}
 	return nil
 }
@@ -109,8 +112,25 @@
 // https://www.rfc-editor.org/rfc/rfc9112#section-6.3.
 func (h *head) addLength(value []byte) *Error {
 	n, err := strconv.ParseInt(string(value), 10, 64)
-	if err == nil && n >= 0 {
-		h.length = n
+	if err != nil || !isNumber(value) {
+		return broken(Framing, "invalid Content-Length: %s", excerpt(value))
+	}
+	if h.length >= 0 && h.length != n {
+		return broken(Framing, "Content-Length is both %d and %d", h.length, n)
+	}
+	h.length = n
+	return nil
+}
+
+// checkFraming judges the framing fields of a complete head together.
+func (h *head) checkFraming() *Error {
+	switch {
+	case h.chunked && h.length >= 0:
+		return broken(Framing, "both Content-Length and Transfer-Encoding")
+	case h.chunked && h.version == 0:
+		return broken(Framing, "Transfer-Encoding in an answer of HTTP/1.0")
+	case (h.isInterim() || h.status == http.StatusNoContent) && (h.chunked || h.length > 0):
+		return broken(Framing, "status %d with a body", h.status)
 	}
 	return nil
 }
@@ -123,7 +143,7 @@
 	switch {
 	case method == http.MethodHead, h.isInterim(), h.status == http.StatusNoContent, h.status == http.StatusNotModified:
 		return 0
-	case h.length >= 0 && !h.chunked:
+	case h.length >= 0:
 		return h.length
 	}
 	return math.MaxInt64
--- a/internal/protocol/http1/reader.go
+++ b/internal/protocol/http1/reader.go
@@ -189,6 +189,9 @@
 	if len(line) > 0 {
 		return r.head.addField(line)
 	}
+	if err := r.head.checkFraming(); err != nil {
+		return err
+	}
 	method := ""
 	if m := r.method.Load(); m != nil {
 		method = *m
