http1: a body whose chunks or trailer are broken is incomplete

What callers saw: a body as complete whose trailer had a name with a blank or a Content-Length, or whose size of a chunk was followed by a blank or a control byte. Cause: net/http reads trailers as leniently as heads. Change: http1 judges sizes of chunks, the ends of chunks and trailers.

--- a/internal/coordination/gateway/head_test.go
+++ b/internal/coordination/gateway/head_test.go
@@ -206,6 +206,35 @@
 	}
 }
 
+// TestInvalidChunks guards against a body being passed on as complete whose chunks or
+// trailer break the grammar.
+func TestInvalidChunks(t *testing.T) {
+	const begin = "HTTP/1.1 200 X\r\nX-Request-Id: ID\r\n" + signed + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	tests := map[string]string{
+		"blank before a size":             begin + " 4\r\nspam\r\n0\r\n\r\n",
+		"blank after a size":              begin + "4 \r\nspam\r\n0\r\n\r\n",
+		"sign before a size":              begin + "+4\r\nspam\r\n0\r\n\r\n",
+		"no size":                         begin + "\r\nspam\r\n0\r\n\r\n",
+		"size beyond 64 bits":             begin + "10000000000000004\r\nspam\r\n0\r\n\r\n",
+		"LF after a size":                 begin + "4\nspam\r\n0\r\n\r\n",
+		"LF after a chunk":                begin + "4\r\nspam\n0\r\n\r\n",
+		"longer than its size":            begin + "4\r\nspammed\r\n0\r\n\r\n",
+		"control byte in an extension":    begin + "4;a=\x01\r\nspam\r\n0\r\n\r\n",
+		"blank in the name of a trailer":  begin + "4\r\nspam\r\n0\r\nX Note: a\r\n\r\n",
+		"NUL in the value of a trailer":   begin + "4\r\nspam\r\n0\r\nX-Note: a\x00\r\n\r\n",
+		"trailer without a colon":         begin + "4\r\nspam\r\n0\r\nX-Note\r\n\r\n",
+		"length in a trailer":             begin + "4\r\nspam\r\n0\r\nContent-Length: 4\r\n\r\n",
+		"LF after a trailer":              begin + "4\r\nspam\r\n0\r\nX-Note: a\n\r\n",
+		"status line in place of trailer": begin + "4\r\nspam\r\n0\r\nHTTP/1.1 200 X\r\n\r\n",
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			// A body that is no event ends a stream too.
+			checkBrokenAnswer(t, text)
+		})
+	}
+}
+
 // TestUnusualAnswer guards against an answer being rejected that the grammar allows.
 func TestUnusualAnswer(t *testing.T) {
 	const id = "X-Request-Id: ID\r\n"
--- a/internal/protocol/http1/reader.go
+++ b/internal/protocol/http1/reader.go
@@ -147,7 +147,7 @@
 func (r *Reader) endLine(line []byte) *Error {
 	r.lines++
 	text, ok := bytes.CutSuffix(line, []byte{'\r'})
-	if !ok && r.at != atTrailer {
+	if !ok {
 		return broken(r.part(), "line without CR: %s", excerpt(line))
 	}
 	switch r.at {
@@ -212,12 +212,12 @@
 // which are ignored:
 // https://www.rfc-editor.org/rfc/rfc9112#section-7.1.
 func (r *Reader) endChunkLine(line []byte) *Error {
-	digits, _, extended := bytes.Cut(line, []byte{';'})
+	digits, extensions, extended := bytes.Cut(line, []byte{';'})
 	if extended {
 		digits = bytes.TrimRight(digits, " \t")
 	}
 	size, err := strconv.ParseInt(string(digits), 16, 64)
-	if err != nil || digits[0] == '-' || digits[0] == '+' {
+	if err != nil || digits[0] == '-' || digits[0] == '+' || !isFieldValue(extensions) {
 		return broken(Chunk, "invalid size of a chunk: %s", excerpt(line))
 	}
 	if size == 0 {
@@ -234,6 +234,13 @@
 		r.moveTo(atStatusLine)
 		return nil
 	}
+	name, _, err := splitField(line)
+	if err != nil {
+		return err
+	}
+	if length, coding := isFramingField(name); length || coding {
+		return broken(Framing, "%s in a trailer", excerpt(name))
+	}
 	return nil
 }
 
