engine, runner: answers that break the protocol fail their attempt

What callers saw, with real processes: 200 and a body with the framing's bytes for a name with a blank; a closed connection for an order whose server answered 000, and 503 for reads whose retries had used up the budget. The ledger recorded such answers as the outcome of the order. Cause: as in the direct path, the agent believed each head that net/http parsed. Change: the agent's connections to backend servers are read through http1. A broken answer is backend_failed with ran unknown, the ledger gets an unknown outcome, the admission a failed connection; log line and counter as in the gateway. The stand-ins send raw answers on request.

--- a/internal/coordination/runner/call.go
+++ b/internal/coordination/runner/call.go
@@ -170,6 +170,7 @@
 		return c.complete(answerOutcome(c.stored))
 	}
 	e := fault.From(err)
+	c.role.noteBroken(err, c.key.RequestID, c.info.Name)
 	if ctx.Err() == nil {
 		sl.connectionFailed()
 	}
--- a/internal/coordination/runner/runner.go
+++ b/internal/coordination/runner/runner.go
@@ -46,6 +46,7 @@
 	"oleanderrack.example/oleanderrack/internal/coordination/membership"
 	"oleanderrack.example/oleanderrack/internal/protocol/controlapi"
 	"oleanderrack.example/oleanderrack/internal/protocol/engine"
+	"oleanderrack.example/oleanderrack/internal/protocol/http1"
 	"oleanderrack.example/oleanderrack/internal/protocol/peer"
 	"oleanderrack.example/oleanderrack/internal/transport/auth"
 	"oleanderrack.example/oleanderrack/internal/transport/intake"
@@ -116,11 +117,11 @@
 	if err != nil {
 		return nil, err
 	}
-	client := &http.Client{Transport: auth.Client{Token: token, Base: &http.Transport{
+	client := &http.Client{Transport: auth.Client{Token: token, Base: http1.NewTransport(&http.Transport{
 		ResponseHeaderTimeout: controlHeaderTimeout,
 		IdleConnTimeout:       time.Minute,
 		MaxIdleConnsPerHost:   4,
-	}}}
+	})}}
 	api := controlapi.New(s.Control, client)
 	connect := func(ctx context.Context, cfg membership.Config) (Session, Completer) {
 		cfg.Control = api
@@ -280,6 +281,14 @@
 	r.scope.Tagged(map[string]string{"reason": kind.String()}).Counter("refusals").Inc(1)
 }
 
+// noteBroken logs and counts an answer of a backend server that breaks the protocol.
+func (r *Role) noteBroken(err error, requestID, backendServer string) {
+	if broken, ok := http1.Broken(err); ok {
+		r.scope.Tagged(map[string]string{"reason": broken.Part.String()}).Counter("broken_answers").Inc(1)
+		r.log.Info("answer breaks the protocol", "request", requestID, "backend_server", backendServer, "part", broken.Part.String(), "error", broken.Reason)
+	}
+}
+
 func (r *Role) countResult(err error) {
 	if err == nil {
 		r.scope.Counter("answers").Inc(1)
--- a/internal/coordination/runner/stream.go
+++ b/internal/coordination/runner/stream.go
@@ -184,6 +184,7 @@
 	}
 	es, err := s.role.client.Complete(ctx, s.completion(id, resume))
 	if err != nil {
+		s.role.noteBroken(err, s.key.RequestID, s.info.Name)
 		if s.ctx.Err() == nil {
 			sl.connectionFailed()
 		}
@@ -213,6 +214,7 @@
 	}
 	es.Close()
 	if cause == pauseFailed && s.ctx.Err() == nil {
+		s.role.noteBroken(err, s.key.RequestID, s.info.Name)
 		sl.connectionFailed()
 	}
 	s.dropped = s.cancelAtEngine(sl, id, true)
--- a/internal/protocol/engine/engine.go
+++ b/internal/protocol/engine/engine.go
@@ -19,7 +19,8 @@
 
 Every error reports whether the request may have run: until a connection is open
 nothing is sent, and the fault reports ran "no"; after that it reports
-"unknown".
+"unknown". An answer that breaks the protocol is such an error, with an [http1.Error]
+in its chain; of its head nothing is believed.
 
 	c := engine.New()
 	s, err := c.Complete(ctx, engine.Completion{Address: a, Path: "/v1/completions", ID: "r-1", Body: body})
@@ -45,6 +46,7 @@
 	"github.com/cockroachdb/errors"
 
 	"oleanderrack.example/oleanderrack/internal/protocol/backend"
+	"oleanderrack.example/oleanderrack/internal/protocol/http1"
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
 
@@ -60,7 +62,6 @@
 	// controlTimeout bounds cancellations and orders.
 	controlTimeout = 5 * time.Second
 	maxReplyBytes  = 1 << 20
-	maxHeaderBytes = 64 << 10
 	readBufferSize = 8 << 10
 )
 
@@ -74,13 +75,13 @@
 func New() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{watcher: backend.New(backend.HeaderNames{}), http: &http.Client{
-		Transport: &http.Transport{
+		Transport: http1.NewTransport(&http.Transport{
 			DialContext:            dialer.DialContext,
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
-			MaxResponseHeaderBytes: maxHeaderBytes,
+			MaxResponseHeaderBytes: http1.MaxHeadBytes,
 			ReadBufferSize:         readBufferSize,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
--- a/internal/standin/completions.go
+++ b/internal/standin/completions.go
@@ -85,6 +85,12 @@
 		return
 	}
 	e.mu.Lock()
+	if consume(&e.rawAnswers) {
+		answer := e.rawAnswer
+		e.mu.Unlock()
+		writeRaw(w, answer)
+		return
+	}
 	c.cachedTokens = e.cache.match(c.prompt, c.promptTokens)
 	c.prefillLeft -= min(c.cachedTokens, c.prefillLeft)
 	if _, ok := e.requests[id]; ok {
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -21,6 +21,10 @@
 	RestartAfterMS int64 `json:"revive_ms,omitempty"`
 	IgnoreFencing  *bool `json:"ignore_fencing,omitempty"`
 	Leaving        *bool `json:"leaving,omitempty"`
+	// RawAnswers is the number of completions that are answered with the bytes of
+	// RawAnswer, before the connection is closed. They do not run.
+	RawAnswers int    `json:"raw,omitempty"`
+	RawAnswer  string `json:"raw_answer,omitempty"`
 }
 
 func (e *Engine) Apply(c Control) {
@@ -47,6 +51,9 @@
 	if c.Leaving != nil {
 		e.leaving = *c.Leaving
 	}
+	if c.RawAnswers > 0 {
+		e.rawAnswers, e.rawAnswer = c.RawAnswers, c.RawAnswer
+	}
 }
 
 func (e *Engine) handleControl(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -111,6 +111,9 @@
 	// means that it does not.
 	exitAfter    int
 	restartAfter time.Duration
+	// rawAnswers completions are answered with the bytes of rawAnswer.
+	rawAnswers int
+	rawAnswer  string
 	// loadFencing is the highest fencing number of the load orders received;
 	// expertMaps tracks that of the group orders.
 	loadFencing uint64
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -58,8 +58,12 @@
 	CrashAnswers    int `json:"crash"`
 	// SwapRequestIDs is the number of requests that are answered with the id of
 	// another request.
-	SwapRequestIDs int  `json:"swap"`
-	Leaving        bool `json:"leaving"`
+	SwapRequestIDs int `json:"swap"`
+	// RawAnswers is the number of requests that are executed and answered with the
+	// bytes of RawAnswer, before the connection is closed.
+	RawAnswers int    `json:"raw"`
+	RawAnswer  string `json:"raw_answer"`
+	Leaving    bool   `json:"leaving"`
 }
 
 const headerIdempotencyKey = "Idempotency-Key"
@@ -146,6 +150,7 @@
 	reset, drop, truncate, swapID bool
 	unframed, crash               bool
 	refused                       bool
+	raw                           string
 }
 
 func (p *Plain) handleRequest(w http.ResponseWriter, r *http.Request) {
@@ -170,6 +175,10 @@
 	if plan.drop {
 		panic(http.ErrAbortHandler)
 	}
+	if plan.raw != "" {
+		writeRaw(w, plan.raw)
+		return
+	}
 	id := r.Header.Get(engine.HeaderRequestID)
 	if plan.swapID {
 		id = "another-request"
@@ -207,6 +216,8 @@
 		plan.unframed, plan.crash = true, consume(&p.control.CrashAnswers)
 	case consume(&p.control.SwapRequestIDs):
 		plan.swapID = true
+	case consume(&p.control.RawAnswers):
+		plan.raw = p.control.RawAnswer
 	}
 	return plan
 }
@@ -279,6 +290,16 @@
 	}
 }
 
+// writeRaw writes bytes in place of an answer and closes the connection.
+func writeRaw(w http.ResponseWriter, answer string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	io.WriteString(conn, answer)
+}
+
 // patternBytes returns n bytes of a repeating pattern.
 func patternBytes(n int) []byte {
 	b := make([]byte, n)
