client, relay, entry, control: answers between processes are judged too

Cause: relays, registrars, control, agents, the operator's command and reports to the platform read answers by net/http alone. A usage report that was answered with status 000 or 600 counted as refused and would have been sent again; orders and reports of ranks believed heads with blanks in names.

--- a/cmd/oleanderrack/deployment.go
+++ b/cmd/oleanderrack/deployment.go
@@ -16,6 +16,7 @@
 	"oleanderrack.example/oleanderrack/internal/coordination/runner"
 	"oleanderrack.example/oleanderrack/internal/protocol/peer"
 	"oleanderrack.example/oleanderrack/internal/standin"
+	"oleanderrack.example/oleanderrack/internal/transport/client"
 	"oleanderrack.example/oleanderrack/pkg/intent"
 )
 
@@ -71,8 +72,9 @@
 // waitReady waits until the entry is ready, which needs a lease and a
 // configuration, or until ctx ends.
 func waitReady(ctx context.Context, address string) error {
+	caller := &http.Client{Transport: client.NewSingleTransport()}
 	for {
-		resp, err := http.Get("http://" + address + "/readyz")
+		resp, err := caller.Get("http://" + address + "/readyz")
 		if err == nil {
 			resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
--- a/cmd/oleanderrack/dev.go
+++ b/cmd/oleanderrack/dev.go
@@ -21,6 +21,7 @@
 	"oleanderrack.example/oleanderrack/internal/coordination/runner"
 	"oleanderrack.example/oleanderrack/internal/protocol/controlapi"
 	"oleanderrack.example/oleanderrack/internal/transport/auth"
+	"oleanderrack.example/oleanderrack/internal/transport/client"
 )
 
 // Names and times of the built-in deployment.
@@ -133,7 +134,7 @@
 // prepare confirms the built-in intent, starts the stand-ins, waits until the
 // entry is ready, and prints commands to try.
 func (d *dev) prepare(ctx, standinCtx context.Context, runnerAddr, entryAddr string) error {
-	operator := controlapi.New([]string{d.controlAddr}, &http.Client{Transport: auth.Client{Token: auth.New(d.operatorToken), Base: &http.Transport{}}})
+	operator := controlapi.New([]string{d.controlAddr}, &http.Client{Transport: auth.Client{Token: auth.New(d.operatorToken), Base: client.NewTransport()}})
 	if err := d.confirmIntent(ctx, operator); err != nil {
 		return err
 	}
--- a/internal/coordination/entry/agents.go
+++ b/internal/coordination/entry/agents.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"oleanderrack.example/oleanderrack/internal/protocol/frame"
+	"oleanderrack.example/oleanderrack/internal/protocol/http1"
 	"oleanderrack.example/oleanderrack/internal/protocol/peer"
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
@@ -33,19 +34,19 @@
 // NewTransport returns a transport that opens a connection for each request. A
 // transport that reuses connections would resend a request when a reused
 // connection breaks, and could read the late answer to an earlier request.
-func NewTransport() *http.Transport {
+func NewTransport() *http1.Transport {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: time.Second, Interval: time.Second, Count: 3,
 		},
 	}
-	return &http.Transport{
+	return http1.NewTransport(&http.Transport{
 		DialContext:            dialer.DialContext,
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: 16 << 10,
-	}
+	})
 }
 
 func newAgentClient(transport http.RoundTripper) *agentClient {
--- a/internal/coordination/entry/new.go
+++ b/internal/coordination/entry/new.go
@@ -12,6 +12,7 @@
 
 	"oleanderrack.example/oleanderrack/internal/coordination/membership"
 	"oleanderrack.example/oleanderrack/internal/protocol/controlapi"
+	"oleanderrack.example/oleanderrack/internal/protocol/http1"
 	"oleanderrack.example/oleanderrack/internal/protocol/peer"
 	"oleanderrack.example/oleanderrack/internal/transport/auth"
 	"oleanderrack.example/oleanderrack/pkg/fault"
@@ -50,11 +51,11 @@
 // controlTransport returns a transport that reuses connections to control: all
 // of its calls may be sent twice, and the ledger's answers name the attempt or
 // key that they are about.
-func controlTransport() *http.Transport {
+func controlTransport() *http1.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return http1.NewTransport(&http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     30 * time.Second,
-	}
+	})
 }
--- a/internal/protocol/operator/operator.go
+++ b/internal/protocol/operator/operator.go
@@ -56,6 +56,7 @@
 	"github.com/cockroachdb/errors"
 
 	"oleanderrack.example/oleanderrack/internal/protocol/controlapi"
+	"oleanderrack.example/oleanderrack/internal/protocol/http1"
 	"oleanderrack.example/oleanderrack/internal/protocol/peer"
 	"oleanderrack.example/oleanderrack/internal/transport/auth"
 	"oleanderrack.example/oleanderrack/pkg/fault"
@@ -202,7 +203,7 @@
 			addresses = append(addresses, a)
 		}
 	}
-	base := http.DefaultTransport.(*http.Transport).Clone()
+	base := http1.NewTransport(http.DefaultTransport.(*http.Transport).Clone())
 	c.api = controlapi.New(addresses, &http.Client{Transport: auth.Client{Token: token, Base: base}})
 	return nil
 }
--- a/internal/transport/client/client.go
+++ b/internal/transport/client/client.go
@@ -4,6 +4,7 @@
 
 	c := &http.Client{Transport: client.NewTransport()}
 
+Package http1 judges the answers: one that breaks the protocol is an error.
 Connection attempts have a short timeout, so that a partitioned host delays its
 callers little. Calls are bounded by their contexts, whose end also closes
 connections that hang.
@@ -14,6 +15,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"oleanderrack.example/oleanderrack/internal/protocol/http1"
 )
 
 const (
@@ -26,17 +29,24 @@
 	// maxIdle bounds the idle connections kept per remote process.
 	maxIdle     = 8
 	idleTimeout = time.Minute
-	// maxHeadBytes bounds the head of a response.
-	maxHeadBytes = 64 << 10
 )
 
 // NewTransport returns a transport that keeps a few idle connections per remote
 // process.
-func NewTransport() *http.Transport {
+func NewTransport() *http1.Transport { return http1.NewTransport(base()) }
+
+// NewSingleTransport returns a transport that opens a connection for each call.
+func NewSingleTransport() *http1.Transport {
+	t := base()
+	t.DisableKeepAlives = true
+	return http1.NewTransport(t)
+}
+
+func base() *http.Transport {
 	return &http.Transport{
 		DialContext:            (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}).DialContext,
 		MaxIdleConnsPerHost:    maxIdle,
 		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxHeadBytes,
+		MaxResponseHeaderBytes: http1.MaxHeadBytes,
 	}
 }
--- a/internal/transport/client/once.go
+++ b/internal/transport/client/once.go
@@ -12,6 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"oleanderrack.example/oleanderrack/internal/protocol/http1"
 )
 
 // maxOnceBytes bounds the response to a call that is sent once.
@@ -63,7 +65,9 @@
 	if _, err := conn.Write(request.Bytes()); err != nil {
 		return 0, &OnceError{Sent: true, Err: err}
 	}
-	res, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, maxOnceBytes)), req)
+	answers := http1.NewReader(io.LimitReader(conn, maxOnceBytes))
+	answers.Expect(req.Method)
+	res, err := http.ReadResponse(bufio.NewReader(answers), req)
 	if err != nil {
 		return 0, &OnceError{Sent: true, Err: err}
 	}
--- a/internal/transport/client/once_test.go
+++ b/internal/transport/client/once_test.go
@@ -31,6 +31,13 @@
 		http.ReadRequest(r)
 		conn.Close()
 	}
+	raw := func(text string) func(net.Conn, *bufio.Reader) {
+		return func(conn net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err == nil {
+				io.WriteString(conn, text)
+			}
+		}
+	}
 	type result struct {
 		Status      int
 		Failed      bool
@@ -51,6 +58,12 @@
 		"not read, long":      {func(net.Conn, *bufio.Reader) { time.Sleep(2 * onceTimeout) }, nil, strings.Repeat("x", 32<<20), result{Failed: true, Sent: true, Connections: 1, Reset: true}},
 		"not read, short":     {func(net.Conn, *bufio.Reader) { time.Sleep(2 * onceTimeout) }, nil, "x", result{Failed: true, Sent: true, Connections: 1, Reset: true}},
 		"nobody is listening": {nil, nil, "x", result{Failed: true}},
+		// A status that means nothing must not count as a refusal, after which the
+		// call would be sent again.
+		"status 000":              {raw("HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n"), nil, "x", result{Failed: true, Sent: true, Connections: 1, Reset: true}},
+		"status 600":              {raw("HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n"), nil, "x", result{Failed: true, Sent: true, Connections: 1, Reset: true}},
+		"blank in a name":         {raw("HTTP/1.1 429 X\r\nRetry After: 1\r\nContent-Length: 0\r\n\r\n"), nil, "x", result{Failed: true, Sent: true, Connections: 1, Reset: true}},
+		"control byte in a value": {raw("HTTP/1.1 204 X\r\nX-Note: \x01\r\n\r\n"), nil, "x", result{Failed: true, Sent: true, Connections: 1, Reset: true}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
