entry: heads that an agent relays or has stored are judged

What callers saw: names with blanks and values with control bytes of an answer that an agent of an earlier version relays; a closed connection for each request with a key whose stored answer has status 000. Cause: the entry checked the status of a relayed head only, and nothing of a stored answer. Change: both are judged by http1.

--- a/internal/coordination/entry/send.go
+++ b/internal/coordination/entry/send.go
@@ -10,6 +10,7 @@
 	"oleanderrack.example/oleanderrack/internal/coordination/dispatch"
 	"oleanderrack.example/oleanderrack/internal/coordination/routing"
 	"oleanderrack.example/oleanderrack/internal/protocol/frame"
+	"oleanderrack.example/oleanderrack/internal/protocol/http1"
 	"oleanderrack.example/oleanderrack/internal/protocol/peer"
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
@@ -273,13 +274,28 @@
 	if d.request.w.Began() && !h.Stream {
 		return d.request.brokenInput(fault.New(fault.BackendFailed, "the stream was not resumed: status %d", h.Status), true)
 	}
-	if h.Status < 200 || h.Status > 599 {
-		return d.request.brokenInput(fault.New(fault.BackendFailed, "the backend server answered with the invalid status %d", h.Status), true)
+	if err := checkHead(h.Status, h.Headers); err != nil {
+		d.request.role.log.Info("answer breaks the protocol", "request", d.request.req.ID, "backend_server", d.choice.BackendServer, "agent", d.choice.Agent.GetId(), "error", err)
+		return d.request.brokenInput(fault.Wrap(err, fault.BackendFailed, "the head of the backend server's answer is invalid"), true)
 	}
 	d.head = h
 	return nil
 }
 
+// checkHead returns an error if a head that an agent has relayed or stored breaks the
+// grammar of HTTP: agents of earlier versions pass on what they get.
+func checkHead(status uint32, headers []*peer.Header) error {
+	if err := http1.CheckStatus(int(status)); err != nil {
+		return err
+	}
+	for _, h := range headers {
+		if err := http1.CheckField(h.Name, h.Value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // handleFailure processes the agent's report that an attempt failed. "no" is
 // accepted as the run state only if no part of an answer preceded it.
 func (d *delivery) handleFailure(f *peer.Failure) dispatch.Input {
--- a/internal/coordination/entry/serve.go
+++ b/internal/coordination/entry/serve.go
@@ -50,6 +50,11 @@
 		case dispatch.Answer:
 			return nil
 		case dispatch.Stored:
+			if err := checkHead(e.Answer.Status, e.Answer.Headers); err != nil {
+				r.count("failures", fault.OutcomeUnknown.String())
+				r.log.Info("stored answer breaks the protocol", "request", req.ID, "error", err)
+				return fault.Wrap(err, fault.OutcomeUnknown, "the answer stored for the key is invalid")
+			}
 			return w.WriteComplete(int(e.Answer.Status), e.Answer.Headers, e.Answer.Body)
 		case dispatch.Fail:
 			r.count("failures", e.Fault.Kind.String())
