dispatch: an attempt that may have run does not end as a refusal

What callers saw: 503 retry_budget_spent or overloaded with ran unknown after a backend server had sent a broken answer, if the next one could not be asked. The kind says unknown, but routers take the status for a promise. Cause: the plan ended with the fault of the retry that was not made. Change: after an attempt that may have run it ends with that attempt's fault (502), with the retry's Retry-After.

--- a/internal/coordination/dispatch/plan.go
+++ b/internal/coordination/dispatch/plan.go
@@ -70,8 +70,10 @@
 	// cancelCause is the fault that led to the open Cancel.
 	cancelCause *fault.Error
 	stopping    bool
-	// lastFault is the failure of the last attempt.
-	lastFault *fault.Error
+	// lastFault is the failure of the last attempt, and lastBroken that of the last
+	// one that may have run.
+	lastFault  *fault.Error
+	lastBroken *fault.Error
 	// finalFault is returned to the caller once all attempts are settled.
 	finalFault *fault.Error
 }
@@ -217,6 +219,10 @@
 // fail ends the arrival with f. If this arrival holds the key, it is released
 // first.
 func (p *Plan) fail(f *fault.Error) Effect {
+	if p.ran != fault.RanNo && p.lastBroken != nil && isRefusal(f.Kind) {
+		// Callers take the status of a refusal for a promise that nothing has run.
+		f = p.lastBroken.WithRetryAfter(f.RetryAfter)
+	}
 	f = f.WithRan(p.ran)
 	if p.keyHolder == nil {
 		return Fail{f}
@@ -225,6 +231,9 @@
 	return Settle{Attempt: p.keyHolder, Evidence: p.evidence}
 }
 
+// isRefusal reports whether a kind says that a request was turned away.
+func isRefusal(k fault.Kind) bool { return k.Ran() == fault.RanNo || k == fault.RetryBudgetSpent }
+
 // settled also releases the previous attempt if the answer to Reassign was lost,
 // since either of the two attempts may then hold the key.
 func (p *Plan) settled() Effect {
@@ -238,7 +247,7 @@
 // broken handles an attempt that may have run.
 func (p *Plan) broken(in AttemptBroken) Effect {
 	p.recordMayHaveRun(in.Began, in.Fault)
-	p.lastFault = in.Fault
+	p.lastFault, p.lastBroken = in.Fault, in.Fault
 	if p.req.Repeatable && !p.req.Keyed {
 		p.resume = in.Began
 		if p.attempts >= MaxAttempts || (in.Began && !in.CanResume) || !isWorthRetrying(in.Fault.Kind) {
