--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -43,6 +43,7 @@
 	"oleanderrack.example/oleanderrack/internal/protocol/peer"
 	"oleanderrack.example/oleanderrack/internal/state/directory"
 	"oleanderrack.example/oleanderrack/internal/state/registry"
+	"oleanderrack.example/oleanderrack/internal/state/wal"
 	"oleanderrack.example/oleanderrack/internal/transport/client"
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
@@ -80,6 +81,8 @@
 	// registrar then forwards requests to the leader, and serves entries with the
 	// state that other registrars report.
 	Folder string
+	// Disk holds the folder; that of the host if nil.
+	Disk wal.Disk
 	// Seeds returns the addresses of some registrars. The result may change.
 	Seeds func() []string
 	// Bootstrap is set when the system starts for the first time, so that there
@@ -159,6 +162,9 @@
 	if cfg.Address == "" || cfg.Cluster == "" || cfg.Voters < 1 || cfg.Services == nil {
 		return nil, fault.New(fault.BadSettings, "registrar: address, cluster, at least one voter and a decoder of services are required")
 	}
+	if cfg.Disk == nil {
+		cfg.Disk = wal.HostDisk{}
+	}
 	r := &Registrar{
 		ctx: ctx, cfg: cfg, log: log, scope: scope,
 		client:  &http.Client{Transport: client.NewTransport()},
--- a/internal/coordination/registrar/registrar_test.go
+++ b/internal/coordination/registrar/registrar_test.go
@@ -19,6 +19,7 @@
 
 	"oleanderrack.example/oleanderrack/internal/protocol/peer"
 	"oleanderrack.example/oleanderrack/internal/state/directory"
+	"oleanderrack.example/oleanderrack/internal/state/wal"
 	"oleanderrack.example/oleanderrack/pkg/fault"
 )
 
@@ -36,6 +37,8 @@
 	// usage returns the configuration of usage reports of a registrar; nil if there
 	// are none.
 	usage func(address string) *UsageConfig
+	// disk returns the disk of a registrar; nil if all have that of the host.
+	disk func(address string) wal.Disk
 }
 
 type node struct {
@@ -76,8 +79,12 @@
 	if g.usage != nil {
 		usageConfig = g.usage(address)
 	}
+	var disk wal.Disk
+	if g.disk != nil {
+		disk = g.disk(address)
+	}
 	r, err := New(ctx, Config{
-		Usage:   usageConfig,
+		Usage: usageConfig, Disk: disk,
 		Cluster: "test", Address: address, FailureDomain: "fes", Folder: folder,
 		Seeds: func() []string { return g.seeds }, Bootstrap: bootstrap, Voters: len(g.seeds),
 		Services: func([]byte) ([]string, error) {
--- a/internal/coordination/registrar/supervisor.go
+++ b/internal/coordination/registrar/supervisor.go
@@ -82,7 +82,7 @@
 	r, err := replica.New(ctx, replica.Config{
 		Cluster: s.cfg.Cluster, ID: id, Folder: s.cfg.Folder, Bootstrap: founders,
 		StateMachine: machine,
-		Transport:    transport, Log: s.log, Scope: s.scope,
+		Transport:    transport, Log: s.log, Scope: s.scope, Disk: s.cfg.Disk,
 		Limits: replica.Limits{
 			SegmentBytes: segmentBytes, SnapshotBytes: snapshotBytes,
 			SnapshotEntries: snapshotEntries, KeptEntries: keptEntries,
@@ -145,7 +145,7 @@
 // has recorded another folder for the replica's id. The replica then joins under
 // a new id.
 func (s *supervisor) discardFolder(cause error) error {
-	if err := wal.Discard(s.cfg.Folder); err != nil {
+	if err := wal.Discard(s.cfg.Disk, s.cfg.Folder); err != nil {
 		return err
 	}
 	return cause
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -78,7 +78,8 @@
 	Transport    Transport
 	Log          hclog.Logger
 	Scope        tally.Scope
-	Limits       Limits // zero values take the defaults
+	Limits       Limits   // zero values take the defaults
+	Disk         wal.Disk // that of the host if nil
 }
 
 // Limits bound memory and disk space.
@@ -164,7 +165,7 @@
 	}
 	cfg.Limits.setDefaults()
 	disk, state, err := wal.Open(cfg.Folder, wal.Options{
-		Cluster: cfg.Cluster, ID: cfg.ID, SegmentBytes: cfg.Limits.SegmentBytes,
+		Cluster: cfg.Cluster, ID: cfg.ID, SegmentBytes: cfg.Limits.SegmentBytes, Disk: cfg.Disk,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/state/wal/folder.go
+++ b/internal/state/wal/folder.go
@@ -17,8 +17,8 @@
 // Discard empties a data folder, so that the next Open creates a new identity.
 // It removes the identity first: Open refuses a folder with log or snapshot
 // files but no identity, so a partly emptied folder is never used.
-func Discard(folder string) error {
-	if err := os.Remove(filepath.Join(folder, identityName)); err != nil {
+func Discard(disk Disk, folder string) error {
+	if err := disk.Remove(filepath.Join(folder, identityName)); err != nil {
 		return fault.Wrap(err, fault.Internal, "wal: identity of %s cannot be removed", folder)
 	}
 	files, err := os.ReadDir(folder)
@@ -29,9 +29,9 @@
 		if f.Name() == lockName {
 			continue
 		}
-		if err := os.Remove(filepath.Join(folder, f.Name())); err != nil {
+		if err := disk.Remove(filepath.Join(folder, f.Name())); err != nil {
 			return fault.Wrap(err, fault.Internal, "wal: %s cannot be removed", f.Name())
 		}
 	}
-	return syncFolder(folder)
+	return disk.SyncFolder(folder)
 }
--- a/internal/state/wal/identity.go
+++ b/internal/state/wal/identity.go
@@ -97,14 +97,14 @@
 	}
 	// The first segment is created before the identity, so that an identity
 	// without a segment means that the log was lost.
-	if err := createFile(l.segmentPath(1)); err != nil {
+	if err := createFile(l.disk, l.segmentPath(1)); err != nil {
 		return identity{}, err
 	}
 	data, err := json.Marshal(id)
 	if err != nil {
 		return identity{}, fault.Wrap(err, fault.Internal, "wal: identity cannot be encoded")
 	}
-	return id, writeFile(l.folder, identityName, data)
+	return id, writeFile(l.disk, l.folder, identityName, data)
 }
 
 // isEmptyFirstSegment reports whether f is an empty first segment. A crash
@@ -114,8 +114,8 @@
 	return err == nil && f.Name() == segmentName(1) && info.Size() == 0
 }
 
-func createFile(path string) error {
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY, 0o600)
+func createFile(disk Disk, path string) error {
+	f, err := disk.OpenFile(path, os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "wal: %s cannot be created", path)
 	}
@@ -123,14 +123,14 @@
 }
 
 // removeTemporaryFiles removes files that a crash left incomplete.
-func removeTemporaryFiles(folder string) error {
+func removeTemporaryFiles(disk Disk, folder string) error {
 	files, err := os.ReadDir(folder)
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "wal: folder %s cannot be read", folder)
 	}
 	for _, f := range files {
 		if strings.HasSuffix(f.Name(), temporarySuffix) {
-			if err := os.Remove(filepath.Join(folder, f.Name())); err != nil {
+			if err := disk.Remove(filepath.Join(folder, f.Name())); err != nil {
 				return fault.Wrap(err, fault.Internal, "wal: %s cannot be removed", f.Name())
 			}
 		}
--- a/internal/state/wal/segment.go
+++ b/internal/state/wal/segment.go
@@ -26,18 +26,18 @@
 // vote, so that earlier segments can be removed, and belongs to the next batch.
 func (l *Log) createSegment(sequence uint64) error {
 	path := l.segmentPath(sequence)
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND, 0o600)
+	f, err := l.disk.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "wal: segment %s cannot be created", path)
 	}
-	if err := syncFolder(l.folder); err != nil {
+	if err := l.disk.SyncFolder(l.folder); err != nil {
 		f.Close()
 		return err
 	}
 	if l.file != nil {
 		l.file.Close()
 	}
-	l.file, l.size = f, 0
+	l.file, l.path, l.size = f, path, 0
 	l.segments = append(l.segments, segment{sequence: sequence})
 	l.staged = slices.Insert(l.staged, 0, stagedRecord{kind: recordHardState, hard: l.hard})
 	return nil
@@ -119,11 +119,11 @@
 
 // reopen opens a segment for appending after its last complete batch.
 func (l *Log) reopen(path string, size int64, truncate bool) error {
-	f, err := os.OpenFile(path, os.O_WRONLY|os.O_APPEND, 0o600)
+	f, err := l.disk.OpenFile(path, os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "wal: segment %s cannot be opened", path)
 	}
-	l.file, l.size = f, size
+	l.file, l.path, l.size = f, path, size
 	if truncate {
 		if err := f.Truncate(size); err != nil {
 			return fault.Wrap(err, fault.Internal, "wal: segment %s cannot be truncated", path)
--- a/internal/state/wal/snapshot.go
+++ b/internal/state/wal/snapshot.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return err
 	}
-	if err := writeFile(l.folder, snapshotName(s.Index), head, dataHeader, s.Data); err != nil {
+	if err := writeFile(l.disk, l.folder, snapshotName(s.Index), head, dataHeader, s.Data); err != nil {
 		return err
 	}
 	names, err := listSnapshots(l.folder)
@@ -51,7 +51,7 @@
 	}
 	for _, name := range names {
 		if name < snapshotName(s.Index) {
-			if err := os.Remove(filepath.Join(l.folder, name)); err != nil {
+			if err := l.disk.Remove(filepath.Join(l.folder, name)); err != nil {
 				return fault.Wrap(err, fault.Internal, "wal: %s cannot be removed", name)
 			}
 		}
--- a/internal/state/wal/wal.go
+++ b/internal/state/wal/wal.go
@@ -47,13 +47,14 @@
 	Term, Vote uint64
 }
 
-// Options hold the identity of a data folder, its limits and the source of
-// randomness. SegmentBytes and Random may be zero.
+// Options hold the identity of a data folder, its limits, the source of
+// randomness and the disk. SegmentBytes, Random and Disk may be zero.
 type Options struct {
 	Cluster      string
 	ID           uint64
 	SegmentBytes int64
 	Random       io.Reader // source of the folder's random number; crypto/rand by default
+	Disk         Disk      // HostDisk by default
 }
 
 // State is the content of a data folder when it is opened.
@@ -74,7 +75,9 @@
 	folder   string
 	options  Options
 	lock     *os.File
-	file     *os.File
+	disk     Disk
+	file     File // the open segment
+	path     string
 	size     int64
 	segments []segment // the last one is open
 	hard     HardState
@@ -107,6 +110,9 @@
 	if options.Random == nil {
 		options.Random = rand.Reader
 	}
+	if options.Disk == nil {
+		options.Disk = HostDisk{}
+	}
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return nil, nil, fault.Wrap(err, fault.BadSettings, "wal: data folder %s cannot be created", folder)
 	}
@@ -114,7 +120,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	l := &Log{folder: folder, options: options, lock: lock}
+	l := &Log{folder: folder, options: options, lock: lock, disk: options.Disk}
 	state, err := l.open()
 	if err != nil {
 		l.Close()
@@ -130,7 +136,7 @@
 		return nil, err
 	}
 	state.Folder, state.Created = id.Folder, created
-	if err := removeTemporaryFiles(l.folder); err != nil {
+	if err := removeTemporaryFiles(l.disk, l.folder); err != nil {
 		return nil, err
 	}
 	if state.Snapshot, err = loadSnapshot(l.folder); err != nil {
@@ -235,10 +241,10 @@
 	n, err := l.file.Write(l.buffer)
 	l.size += int64(n)
 	if err != nil {
-		return fault.Wrap(err, fault.Internal, "wal: write to %s failed", l.file.Name())
+		return fault.Wrap(err, fault.Internal, "wal: write to %s failed", l.path)
 	}
 	if err := l.file.Sync(); err != nil {
-		return fault.Wrap(err, fault.Internal, "wal: sync of %s failed", l.file.Name())
+		return fault.Wrap(err, fault.Internal, "wal: sync of %s failed", l.path)
 	}
 	if cap(l.buffer) > maxRetainedBuffer {
 		l.buffer = nil
@@ -255,7 +261,7 @@
 func (l *Log) Compact(index uint64) error {
 	removed := 0
 	for len(l.segments)-removed > 1 && l.segments[removed].maxIndex <= index {
-		if err := os.Remove(l.segmentPath(l.segments[removed].sequence)); err != nil {
+		if err := l.disk.Remove(l.segmentPath(l.segments[removed].sequence)); err != nil {
 			return fault.Wrap(err, fault.Internal, "wal: a segment cannot be removed")
 		}
 		removed++
@@ -264,7 +270,7 @@
 		return nil
 	}
 	l.segments = append([]segment(nil), l.segments[removed:]...)
-	return syncFolder(l.folder)
+	return l.disk.SyncFolder(l.folder)
 }
 
 // Close closes the log and releases the lock of the folder. Appended records
@@ -280,23 +286,11 @@
 	return l.lock.Close()
 }
 
-func syncFolder(folder string) error {
-	f, err := os.Open(folder)
-	if err != nil {
-		return fault.Wrap(err, fault.Internal, "wal: folder %s cannot be opened", folder)
-	}
-	defer f.Close()
-	if err := f.Sync(); err != nil {
-		return fault.Wrap(err, fault.Internal, "wal: folder %s cannot be synced", folder)
-	}
-	return nil
-}
-
 // writeFile writes a file under a temporary name, syncs it, renames it and
 // syncs the folder, so that the name always refers to a complete file.
-func writeFile(folder, name string, parts ...[]byte) error {
+func writeFile(disk Disk, folder, name string, parts ...[]byte) error {
 	path := filepath.Join(folder, name)
-	f, err := os.OpenFile(path+temporarySuffix, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	f, err := disk.OpenFile(path+temporarySuffix, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "wal: %s cannot be created", path)
 	}
@@ -312,10 +306,10 @@
 		err = closeErr
 	}
 	if err == nil {
-		err = os.Rename(path+temporarySuffix, path)
+		err = disk.Rename(path+temporarySuffix, path)
 	}
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "wal: %s cannot be written", path)
 	}
-	return syncFolder(folder)
+	return disk.SyncFolder(folder)
 }
--- a/internal/state/wal/wal_test.go
+++ b/internal/state/wal/wal_test.go
@@ -279,7 +279,7 @@
 			}
 			next += count
 		}
-		path := l.file.Name()
+		path := l.path
 		l.Close()
 		data, err := os.ReadFile(path)
 		if err != nil {
