--- a/internal/transport/server/server.go
+++ b/internal/transport/server/server.go
@@ -81,6 +81,9 @@
 // Address returns the host:port that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
+// Close closes the listener of a server that is not run.
+func (s *Server) Close() error { return s.listener.Close() }
+
 // IsDraining reports whether shutdown has begun.
 func (s *Server) IsDraining() bool { return s.draining.Load() }
 
