wal: what a log holds when it is opened is durable

What could be lost: a batch that was written and whose sync failed, as on a full disk, or whose process was killed before the sync, was read back from the page cache when the log was opened again, counted as durable, and was gone after a loss of power although a leader had counted it for an acknowledgement. Cause: Open trusted what it could read; the kernel takes pages for clean once their sync has failed, so that a further sync says nothing. Change: Open writes the last batch of the last segment again and syncs it and the folder before the log is used. Evidence: TestOpenedLogIsDurable failed before for a failed sync and for a kill, on a disk that forgets what was not synced, and passes now.

--- a/internal/coordination/registrar/disk_test.go
+++ b/internal/coordination/registrar/disk_test.go
@@ -95,6 +95,13 @@
 	return f.File.Write(p)
 }
 
+func (f *limitedFile) WriteAt(p []byte, offset int64) (int, error) {
+	if err := f.disk.check(f.path, writing, truncating); err != nil {
+		return 0, err
+	}
+	return f.File.WriteAt(p, offset)
+}
+
 func (f *limitedFile) Sync() error {
 	if err := f.disk.check(f.path, syncing); err != nil {
 		return err
--- a/internal/state/wal/disk.go
+++ b/internal/state/wal/disk.go
@@ -20,6 +20,7 @@
 // File is a file of a Disk that is open for writing.
 type File interface {
 	io.WriteCloser
+	io.WriterAt
 	// Sync makes what was written durable.
 	Sync() error
 	Truncate(size int64) error
--- a/internal/state/wal/segment.go
+++ b/internal/state/wal/segment.go
@@ -114,24 +114,52 @@
 	}
 	state.TornBytes = torn
 	l.hard = state.Hard
-	return l.reopen(path, int64(size), torn > 0)
+	if err := l.makeDurable(path, data[:size], lastBatchBytes(records), torn > 0); err != nil {
+		return err
+	}
+	return l.reopen(path, int64(size))
 }
 
-// reopen opens a segment for appending after its last complete batch.
-func (l *Log) reopen(path string, size int64, truncate bool) error {
-	f, err := l.disk.OpenFile(path, os.O_WRONLY|os.O_APPEND, 0o600)
+// lastBatchBytes returns the size of the last batch of records.
+func lastBatchBytes(records []record) (size int) {
+	for i := len(records) - 1; i >= 0 && records[i].batch == records[len(records)-1].batch; i-- {
+		size += recordHeaderBytes + len(records[i].payload)
+	}
+	return size
+}
+
+// makeDurable makes the last segment durable as it was read, and cuts off what follows
+// its last complete batch. The process may have ended, or the sync may have failed,
+// after that batch was written; it is written again, since the kernel takes pages for
+// clean once their sync has failed.
+func (l *Log) makeDurable(path string, data []byte, lastBatch int, isTorn bool) error {
+	f, err := l.disk.OpenFile(path, os.O_WRONLY, 0o600)
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "wal: segment %s cannot be opened", path)
 	}
-	l.file, l.path, l.size = f, path, size
-	if truncate {
-		if err := f.Truncate(size); err != nil {
+	defer f.Close()
+	if isTorn {
+		if err := f.Truncate(int64(len(data))); err != nil {
 			return fault.Wrap(err, fault.Internal, "wal: segment %s cannot be truncated", path)
 		}
-		if err := f.Sync(); err != nil {
-			return fault.Wrap(err, fault.Internal, "wal: segment %s cannot be synced", path)
-		}
 	}
+	begin := len(data) - lastBatch
+	if _, err := f.WriteAt(data[begin:], int64(begin)); err != nil {
+		return fault.Wrap(err, fault.Internal, "wal: the last batch of %s cannot be written again", path)
+	}
+	if err := f.Sync(); err != nil {
+		return fault.Wrap(err, fault.Internal, "wal: segment %s cannot be synced", path)
+	}
+	return l.disk.SyncFolder(l.folder)
+}
+
+// reopen opens a segment for appending.
+func (l *Log) reopen(path string, size int64) error {
+	f, err := l.disk.OpenFile(path, os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "wal: segment %s cannot be opened", path)
+	}
+	l.file, l.path, l.size = f, path, size
 	if size == 0 {
 		l.staged = append(l.staged, stagedRecord{kind: recordHardState, hard: l.hard})
 	}
--- a/internal/state/wal/wal.go
+++ b/internal/state/wal/wal.go
@@ -13,7 +13,8 @@
 the last one, and [Open] truncates it. A damaged record that is followed by a
 later batch had been synced, so acknowledged state is lost and Open returns a
 corrupt_data fault. It returns a foreign_data fault for a folder of another
-cluster or replica, and a conflict fault if another process uses the folder.
+cluster or replica, and a conflict fault if another process uses the folder. What Open
+returns is durable, whether or not it was when the process that wrote it ended.
 
 # Use
 
