intake: bodies of TestBodyLedger begin one after another

Cause: the test let all its bodies begin at the same time, so that "the one that began first" was whichever the map gave first. Which of two such bodies gives way is left open by the product. Change: each body of the test begins a millisecond after the one before, so that every step has one right outcome; no check is changed.

--- a/internal/transport/intake/bodies_test.go
+++ b/internal/transport/intake/bodies_test.go
@@ -21,6 +21,7 @@
 	l := &bodyLedger{limit: 100, reading: map[*bodyAccount]bool{}}
 	now := start
 	begin := func() *bodyAccount {
+		now = now.Add(time.Millisecond) // no two begin at the same time
 		a := &bodyAccount{begun: now, progressed: now}
 		l.reading[a] = true
 		return a
