gateway: tests of broken answers on connections that end

Cause: the answers of the tests left their connections open, so that a body without a usable end ran into the deadline; one whose connection ends is the form that gave callers 200 with the framing's bytes. Change: each case is played on a connection that is kept and on one that is closed; log lines are read with their fields, without a race.

--- a/internal/coordination/gateway/head_test.go
+++ b/internal/coordination/gateway/head_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,24 +10,30 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/hashicorp/go-hclog"
 )
 
 // raw answers with text, in which "ID" stands for the id of the request, and keeps the
-// connection open.
-func raw(text string) script {
+// connection open or closes it.
+func raw(text string, keep bool) script {
 	return func(conn net.Conn, r *http.Request) bool {
 		fmt.Fprint(conn, strings.ReplaceAll(text, "ID", r.Header.Get("X-Request-Id")))
-		return true
+		return keep
 	}
 }
 
-// checkBrokenAnswer sends each request to two backend servers at most, the first of which
-// answers with the given text, and compares what callers get: the answer of the second
-// one if the request may be repeated, and a failure without a promise otherwise.
+// checkBrokenAnswer checks an answer of a backend server that keeps its connection open,
+// and of one that closes it.
 func checkBrokenAnswer(t *testing.T, text string) {
+	for name, keep := range map[string]bool{"kept": true, "closed": false} {
+		t.Run(name, func(t *testing.T) { checkBrokenBy(t, raw(text, keep)) })
+	}
+}
+
+// checkBrokenBy sends each request to two backend servers at most, the first of which
+// gives a broken answer, and compares what callers get: the answer of the second one if
+// the request may be repeated, and a failure without a promise otherwise.
+func checkBrokenBy(t *testing.T, broken script) {
 	t.Helper()
-	var log bytes.Buffer
 	const failed = `"ran":"unknown"`
 	tests := map[string]struct {
 		path    string
@@ -47,7 +52,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			log.Reset()
+			lines, log := newLogBuffer()
 			var calls atomic.Int32
 			answer := func(conn net.Conn, r *http.Request) bool {
 				call := calls.Add(1)
@@ -55,7 +60,7 @@
 				case test.path == "/stream/2" && call == 1:
 					return events(conn, r, 2, false, "")
 				case test.path == "/stream/2" || call == 1:
-					return raw(text)(conn, r)
+					return broken(conn, r)
 				case strings.HasPrefix(r.URL.Path, "/stream/"):
 					return events(conn, r, 2, true, "")
 				}
@@ -65,7 +70,7 @@
 			for range test.servers {
 				servers = append(servers, newFakeServer(t, answer))
 			}
-			s := newLoggingGateway(t, hclog.New(&hclog.LoggerOptions{Output: &log}), servers...)
+			s := newLoggingGateway(t, log, servers...)
 			status, body, header := s.send(t, "POST", test.path, "")
 			if diff := cmp.Diff([]any{test.status, test.calls}, []any{status, calls.Load()}); diff != "" {
 				t.Error(diff)
@@ -82,8 +87,9 @@
 			if n := s.count("attempts_failed"); n == 0 {
 				t.Error("the attempt does not count as failed")
 			}
-			if !strings.Contains(log.String(), "answer breaks the protocol") || !strings.Contains(log.String(), "backend_server=s") {
-				t.Errorf("the log does not say which backend server sent the answer: %s", log.String())
+			said := lines.lines(t, "answer breaks the protocol")
+			if len(said) != 1 || said[0]["backend_server"] == "" || said[0]["request_id"] != "r1" || said[0]["part"] == "" {
+				t.Errorf("the log does not say once which backend server sent which part: %v", said)
 			}
 		})
 	}
@@ -228,10 +234,7 @@
 		"status line in place of trailer": begin + "4\r\nspam\r\n0\r\nHTTP/1.1 200 X\r\n\r\n",
 	}
 	for name, text := range tests {
-		t.Run(name, func(t *testing.T) {
-			// A body that is no event ends a stream too.
-			checkBrokenAnswer(t, text)
-		})
+		t.Run(name, func(t *testing.T) { checkBrokenAnswer(t, text) })
 	}
 }
 
@@ -264,7 +267,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			f := newFakeServer(t, raw(test.text))
+			f := newFakeServer(t, raw(test.text, true))
 			s := newTestGateway(t, f)
 			want := "done"
 			if test.status == 204 || test.status == 304 {
@@ -291,7 +294,7 @@
 // TestHeadersOfHead guards against the head of an answer to HEAD being taken for one
 // whose body is missing, or the next answer for that body.
 func TestHeadersOfHead(t *testing.T) {
-	f := newFakeServer(t, raw("HTTP/1.1 200 X\r\nX-Request-Id: ID\r\n"+signed+"Content-Length: 4000\r\nKeep-Alive: timeout=5\r\n\r\n"))
+	f := newFakeServer(t, raw("HTTP/1.1 200 X\r\nX-Request-Id: ID\r\n"+signed+"Content-Length: 4000\r\nKeep-Alive: timeout=5\r\n\r\n", true))
 	s := newTestGateway(t, f)
 	for range 3 {
 		if status, body, _ := s.send(t, "HEAD", "/again/1", ""); status != 200 || body != "" {
@@ -303,7 +306,7 @@
 // TestBrokenHeadsCountAgainstServer guards against a backend server that keeps its
 // share of the requests although the heads of its answers are broken.
 func TestBrokenHeadsCountAgainstServer(t *testing.T) {
-	broken := newFakeServer(t, raw("HTTP/1.1 000 X\r\nX-Request-Id: ID\r\n"+signed+"Content-Length: 0\r\n\r\n"))
+	broken := newFakeServer(t, raw("HTTP/1.1 000 X\r\nX-Request-Id: ID\r\n"+signed+"Content-Length: 0\r\n\r\n", true))
 	sound := newFakeServer(t, ok)
 	s := newTestGateway(t, broken, sound)
 	const requests = 60
