gateway, backend: a broken answer to a health check is reported as one

What callers saw: 200 for an answer without a length whose backend server then answered the health check with a blank in the name of a field. Change: the reason is kept in HealthAnswer, logged and counted.

--- a/internal/coordination/gateway/ending.go
+++ b/internal/coordination/gateway/ending.go
@@ -131,6 +131,7 @@
 		return w.CheckConnection(a.ctx), backend.HealthAnswer{}
 	}
 	presence, health := w.Check(a.ctx, timeout, healthCheck, server.ID)
+	a.noteBroken(health.Err)
 	if presence == backend.Serving {
 		a.noteLeaving(health.Status, health.Header)
 		a.noteRetryAfter(health.Status, health.Header)
--- a/internal/coordination/gateway/head_test.go
+++ b/internal/coordination/gateway/head_test.go
@@ -303,6 +303,29 @@
 	}
 }
 
+// TestBrokenHealthAnswer guards against an answer without a length that counts as complete
+// because its backend server has answered a health check with a broken head.
+func TestBrokenHealthAnswer(t *testing.T) {
+	tests := map[string]string{
+		"status 000":      "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
+		"blank in a name": "HTTP/1.1 200 X\r\nX Note: a\r\nContent-Length: 0\r\n\r\n",
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			broken := newFakeServer(t, raw("HTTP/1.1 200 X\r\nX-Request-Id: ID\r\n"+signed+"\r\nspam", false))
+			broken.health = raw(text, true)
+			s := newTestGateway(t, broken)
+			status, body, _ := s.send(t, "POST", "/once/1", "")
+			if status != 502 || !strings.Contains(body, `"ran":"unknown"`) {
+				t.Errorf("the caller got %d %q, want 502", status, body)
+			}
+			if n := s.count("broken_answers"); n != 1 {
+				t.Errorf("%d broken answers are counted, want 1", n)
+			}
+		})
+	}
+}
+
 // TestBrokenHeadsCountAgainstServer guards against a backend server that keeps its
 // share of the requests although the heads of its answers are broken.
 func TestBrokenHeadsCountAgainstServer(t *testing.T) {
--- a/internal/protocol/backend/witness.go
+++ b/internal/protocol/backend/witness.go
@@ -148,10 +148,13 @@
 // Close closes the connection, unless Check has put it back for reuse.
 func (w *Witness) Close() { w.cancel() }
 
-// HealthAnswer is the answer to a health check. Its status is 0 if there was none.
+// HealthAnswer is the answer to a health check. Its status is 0 if there was none that
+// can be used.
 type HealthAnswer struct {
 	Status int
 	Header http.Header
+	// Err is why the answer cannot be used.
+	Err error
 }
 
 // Check reports whether the process that sent an answer until now is still there. It
@@ -219,14 +222,14 @@
 	}
 	deadline, _ := ctx.Deadline() // set by Check
 	cn.SetReadDeadline(deadline)
-	http1, err := w.client.readResponse(cn.conn, req)
+	res, err := w.client.readResponse(cn.conn, req)
 	if err != nil {
-		return Unknown, HealthAnswer{}
+		return Unknown, HealthAnswer{Err: err}
 	}
-	w.reuse(cn, http1)
-	answer := HealthAnswer{Status: http1.StatusCode, Header: http1.Header}
-	answered := http1.Header.Get(headers.Incarnation)
-	if http1.StatusCode == http.StatusMisdirectedRequest || (answered != "" && answered != incarnation) {
+	w.reuse(cn, res)
+	answer := HealthAnswer{Status: res.StatusCode, Header: res.Header}
+	answered := res.Header.Get(headers.Incarnation)
+	if res.StatusCode == http.StatusMisdirectedRequest || (answered != "" && answered != incarnation) {
 		return Ended, answer
 	}
 	return Serving, answer
