gateway: the end of a leaving server does not make an answer whole

Cause: isComplete took the end of a server that had announced it for the end of its answers where the request must not be repeated. An announced end says nothing about whether the answer was out.

Change: only a witness that answers after the end makes such an answer whole. Else the answer is broken off, with 502 or an aborted connection.

The row "order and planned end" and the row of TestIsComplete that wanted the exception are replaced: they asked for the fault.

--- a/internal/coordination/gateway/ending.go
+++ b/internal/coordination/gateway/ending.go
@@ -84,12 +84,9 @@
 )
 
 // isComplete decides whether an answer that has ended with its connection is complete.
-// A crash looks the same, so its backend server has to be seen afterwards. One that
-// leaves ends after its last answer: what may be repeated is asked for again, and what
-// must not keeps its answer.
-func isComplete(p backend.Presence, leaving, repeatable bool) bool {
-	return p == backend.Serving || (p == backend.Ended && leaving && !repeatable)
-}
+// A crash looks the same, so its backend server has to be seen afterwards. That it had
+// announced its end does not help: it may be taken away in the middle of its answers.
+func isComplete(p backend.Presence) bool { return p == backend.Serving }
 
 // checkComplete returns an error if an answer that was read to its end may be
 // incomplete.
@@ -111,7 +108,7 @@
 		presence, health = a.consult(second, timeout, path)
 	}
 	leaving := g.isLeaving(quarantine.Incarnation{ID: server.ID, StartedMS: server.StartedMS}, server.Address)
-	complete := isComplete(presence, leaving, repeatable)
+	complete := isComplete(presence)
 	g.metrics.count("answers_without_length", completeness(complete))
 	g.log.Info("answer without a length ended", "request_id", a.call.id, "backend_server", server.ID, "born_ms", server.StartedMS,
 		"complete", complete, "events", a.events, "last_event", a.call.stream.lastID, "repeatable", repeatable, "leaving", leaving,
--- a/internal/coordination/gateway/ending_test.go
+++ b/internal/coordination/gateway/ending_test.go
@@ -240,7 +240,7 @@
 // connection: a complete one that is refused, and a truncated one that looks
 // complete because the last event is incomplete, or because the backend server has
 // ended while a proxy, its next incarnation or what is left of it accepts connections
-// at its address.
+// at its address, or was taken away after its notice.
 func TestEndsWithConnection(t *testing.T) {
 	stream := "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"
 	head := func(r *http.Request) string {
@@ -255,7 +255,10 @@
 		leaving    bool // the backend server has announced its end
 	}{
 		"stream and planned end": {"/stream/1", stream, end, nil, stream + "id: 3\ndata: e3\n\n", 2, true},
-		"order and planned end":  {"/once/1", "done", end, nil, "done", 1, true},
+		"order, then taken away": {"/once/1", "do", end, nil, "", 1, true},
+		"fixed, then taken away": {"/fixed/1", stream, end, nil, stream + "BROKEN", 1, true},
+		"order, leaving":         {"/once/1", "done", nil, nil, "done", 1, true},
+		"fixed, leaving":         {"/fixed/1", stream, nil, nil, stream, 1, true},
 		"leaving, still there":   {"/stream/1", stream, nil, nil, stream, 1, true},
 
 		"body":                   {"/again/1", "done", nil, nil, "done", 1, false},
@@ -342,24 +345,17 @@
 // though its backend server may have ended in the middle of it.
 func TestIsComplete(t *testing.T) {
 	tests := map[string]struct {
-		presence            backend.Presence
-		leaving, repeatable bool
-		want                bool
+		presence backend.Presence
+		want     bool
 	}{
-		"serving":                    {backend.Serving, false, false, true},
-		"serving, repeatable":        {backend.Serving, false, true, true},
-		"serving and leaving":        {backend.Serving, true, true, true},
-		"ended":                      {backend.Ended, false, false, false},
-		"ended, repeatable":          {backend.Ended, false, true, false},
-		"left after its last answer": {backend.Ended, true, false, true},
-		"left, repeatable":           {backend.Ended, true, true, false},
-		"unknown":                    {backend.Unknown, false, false, false},
-		"unknown and leaving":        {backend.Unknown, true, false, false},
-		"lost and leaving":           {backend.Lost, true, false, false},
+		"serving":                             {backend.Serving, true},
+		"ended, also if it said that it will": {backend.Ended, false},
+		"unknown":                             {backend.Unknown, false},
+		"lost":                                {backend.Lost, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			if diff := cmp.Diff(test.want, isComplete(test.presence, test.leaving, test.repeatable)); diff != "" {
+			if diff := cmp.Diff(test.want, isComplete(test.presence)); diff != "" {
 				t.Error(diff)
 			}
 		})
