quarantine: a part at many servers that end at once is quarantined

Cause: crashes less than 0.1 s apart are one occasion, and three are needed. That protects common parts when a rack fails, but the nine crashes of a batch look the same by their times alone.

Change: on one occasion, crashes count each against a part that was never sound and was at 80 % or more of the servers that ended then. Five are enough, if each of the servers also had a sound part or there were two occasions. IsRefuted knows this evidence too.

Evidence: TestPartCrashesRunners "many at once", real processes: 6 late of 24 crashes before, none of 12 with the change; four rows of TestDecide and two of TestIsRefuted fail before. The row "hosts that fail together" wanted no decision where 12 servers that end at once all had the same new part. That is the case above, so it is decided now; the row has servers without the part instead, as those of a rack are.

--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -18,6 +18,10 @@
 at any server that ends for another reason. A crash that a quarantined part
 explains does not count against others.
 
+Servers that end at the same moment may have a cause in common, such as a rack without
+power, and then had requests with different parts. So crashes on one occasion count
+each only against a part that was at nearly all of these servers and never sound.
+
 [Evidence] makes this decision. Registrars keep the evidence of all entries, the
 leader decides by it, and the decision goes through the replicated log, so that it
 outlives any process. A [Guard] at each entry refuses requests with a quarantined
@@ -54,6 +58,11 @@
 	// minCrashesOfSound is the same for a part that was sound before the first of
 	// them, or that came with another one each time.
 	minCrashesOfSound = 5
+	// minServers is the number of servers that have ended, also on one occasion, after
+	// which a part is quarantined that was at minShare of those that ended at the
+	// same time and was never sound.
+	minServers = 5
+	minShare   = 0.8
 	// occasionLength is the time within which crashes count as one occasion: hosts
 	// that fail together end many backend servers at the same moment.
 	occasionLength = 100 * time.Millisecond
@@ -88,6 +97,8 @@
 	parts  map[string]mention
 	// explained is set once a quarantined part was among them.
 	explained bool
+	// hasSound is set by Decide if one of the parts was ever sound.
+	hasSound bool
 }
 
 // mention is how a part occurred among the requests at a server that ended.
@@ -181,19 +192,23 @@
 // enough evidence against it. Entries report some sound answers only after a part is
 // quarantined.
 func (e *Evidence) IsRefuted(part string) bool {
-	all, since := 0, 0
-	var last time.Time
-	for _, c := range e.ordered() {
-		if !c.has(part) || (!last.IsZero() && c.at.Sub(last) < occasionLength) {
+	sound := e.sound.get(part)
+	if sound.IsZero() {
+		return false
+	}
+	all, since := Suspicion{Part: part}, Suspicion{Part: part}
+	crashes := e.ordered()
+	for _, c := range crashes {
+		if !c.has(part) {
 			continue
 		}
-		last = c.at
-		all++
-		if c.at.After(e.sound.get(part)) {
-			since++
+		all.add(c)
+		if c.at.After(sound) {
+			since.add(c)
 		}
 	}
-	return all >= minCrashes && since < minCrashes
+	all.countServers(crashes)
+	return (all.Occasions >= minCrashes || all.servers >= minServers) && since.Occasions < minCrashes
 }
 
 // ordered returns the crashes by their time.
@@ -212,11 +227,53 @@
 	LastSound time.Time
 
 	crashes []*crash
+	// servers is the number of crashes of which those on one occasion count once,
+	// unless the part was at nearly all servers that ended then.
+	servers int
 	// requests and position add up the mentions of the part. One that crashes
 	// servers is mentioned once, with parts that many requests share before it.
 	requests, position int
 }
 
+// add adds a crash with the part, in the order of their times.
+func (s *Suspicion) add(c *crash) {
+	if s.Crashes == 0 {
+		s.First = c.at
+	}
+	s.Crashes++
+	s.crashes = append(s.crashes, c)
+	if s.Occasions == 0 || c.at.Sub(s.Last) >= occasionLength {
+		s.Occasions++
+		s.Last = c.at
+	}
+	m := c.parts[s.Part]
+	s.requests += m.requests
+	s.position += m.position
+}
+
+// countServers sets servers. all holds the crashes that may have the same cause, by
+// their time.
+func (s *Suspicion) countServers(all []*crash) {
+	s.servers = 0
+	for rest := s.crashes; len(rest) > 0; {
+		begin := rest[0].at
+		with := countBefore(rest, begin.Add(occasionLength))
+		together := countBefore(all, begin.Add(occasionLength)) - countBefore(all, begin.Add(-occasionLength))
+		if float64(with) >= minShare*float64(together) {
+			s.servers += with
+		} else {
+			s.servers++
+		}
+		rest = rest[with:]
+	}
+}
+
+// countBefore returns how many of the crashes, which are in order, were before a time.
+func countBefore(crashes []*crash, t time.Time) int {
+	n, _ := slices.BinarySearchFunc(crashes, t, func(c *crash, t time.Time) int { return c.at.Compare(t) })
+	return n
+}
+
 func (c *crash) has(part string) bool {
 	_, ok := c.parts[part]
 	return ok
@@ -263,37 +320,44 @@
 // suspicions returns the evidence of the crashes that count against each part.
 func (e *Evidence) suspicions(counts func(*crash) bool) []Suspicion {
 	byPart := map[string]*Suspicion{}
-	for _, c := range e.ordered() {
-		if !counts(c) {
-			continue
-		}
-		for part, m := range c.parts {
+	crashes := slices.DeleteFunc(e.ordered(), func(c *crash) bool { return !counts(c) })
+	for _, c := range crashes {
+		c.hasSound = false
+		for part := range c.parts {
 			sound := e.sound.get(part)
+			c.hasSound = c.hasSound || !sound.IsZero()
 			if !c.at.After(latest(sound, e.settled.get(part))) {
 				continue
 			}
 			s := byPart[part]
 			if s == nil {
-				s = &Suspicion{Part: part, First: c.at, LastSound: sound}
+				s = &Suspicion{Part: part, LastSound: sound}
 				byPart[part] = s
 			}
-			s.Crashes++
-			s.crashes = append(s.crashes, c)
-			s.requests += m.requests
-			s.position += m.position
-			if s.Occasions == 0 || c.at.Sub(s.Last) >= occasionLength {
-				s.Occasions++
-				s.Last = c.at
-			}
+			s.add(c)
 		}
 	}
 	list := make([]Suspicion, 0, len(byPart))
 	for _, part := range slices.Sorted(maps.Keys(byPart)) {
-		list = append(list, *byPart[part])
+		s := byPart[part]
+		if s.Crashes >= minServers {
+			s.countServers(crashes)
+		}
+		list = append(list, *s)
 	}
 	return list
 }
 
+// isAtManyServers reports whether a part that was never sound was at enough servers
+// that have ended, on however few occasions. On a single one, some other part has to
+// be sound: else so little is known that the part may be a common one.
+func (s *Suspicion) isAtManyServers() bool {
+	if !s.LastSound.IsZero() || s.servers < minServers {
+		return false
+	}
+	return s.Occasions > 1 || !slices.ContainsFunc(s.crashes, func(c *crash) bool { return !c.hasSound })
+}
+
 // mostCertain returns the part that is most likely the cause of crashes, if the
 // evidence against it is enough.
 func (e *Evidence) mostCertain(suspicions []Suspicion, status func(string) Status) (Suspicion, bool) {
@@ -304,12 +368,12 @@
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(b.Occasions, a.Occasions), cmp.Compare(a.requests, b.requests), cmp.Compare(b.position, a.position))
+		return cmp.Or(cmp.Compare(b.Occasions, a.Occasions), cmp.Compare(b.servers, a.servers), cmp.Compare(a.requests, b.requests), cmp.Compare(b.position, a.position))
 	})
 	for _, s := range suspicions {
 		needed := minCrashes
 		switch {
-		case status(s.Part) == Expired:
+		case status(s.Part) == Expired, s.isAtManyServers():
 			needed = 1
 		case !s.LastSound.IsZero() || s.isAmbiguous(&e.sound):
 			needed = minCrashesOfSound
--- a/internal/coordination/quarantine/evidence_test.go
+++ b/internal/coordination/quarantine/evidence_test.go
@@ -20,15 +20,25 @@
 }
 
 // TestDecide guards against a part that crashes backend servers and is not found,
-// and against the quarantine of sound parts that were there as well.
+// or only after many servers that ended at the same moment, and against the quarantine
+// of sound parts that were there as well.
 func TestDecide(t *testing.T) {
 	crash := func(at time.Duration, server string, parts ...string) step { return step{at, server, parts} }
 	sound := func(at time.Duration, parts ...string) step { return step{at: at, parts: parts} }
 	common := []step{sound(0, "first"), sound(0, "other")}
-	rack := []step{sound(0, "first")}
-	for i := range 12 {
-		rack = append(rack, crash(time.Second+time.Duration(i)*5*time.Millisecond, fmt.Sprint("r", i), "first", "new"))
+	// servers end together, the first ones with a part that was never sound.
+	together := func(servers, withPart int) []step {
+		steps := []step{sound(0, "first")}
+		for i := range servers {
+			parts := []string{"first", "new"}
+			if i >= withPart {
+				parts = []string{"first", fmt.Sprint("other", i)}
+			}
+			steps = append(steps, crash(time.Second+time.Duration(i)*5*time.Millisecond, fmt.Sprint("r", i), parts...))
+		}
+		return steps
 	}
+	unknown := together(12, 12)[1:]
 	rare := []step{sound(0, "first")}
 	for i := range 3 {
 		at := time.Duration(i+1) * 15 * time.Minute
@@ -39,9 +49,9 @@
 		at := time.Duration(i+1) * time.Second
 		turned = append(turned, crash(at, fmt.Sprint("r", i), "bad", "first"), sound(at+500*time.Millisecond, "first"))
 	}
-	var together []step
+	var inPairs []step
 	for i := range 5 {
-		together = append(together, crash(time.Duration(i+1)*time.Second, fmt.Sprint("r", i), "a first", "bad"))
+		inPairs = append(inPairs, crash(time.Duration(i+1)*time.Second, fmt.Sprint("r", i), "a first", "bad"))
 	}
 	// The entries have just started and have seen no sound answer.
 	var inCompany []step
@@ -62,11 +72,18 @@
 		"sound between": {[]step{crash(1*time.Second, "a", "other"), crash(2*time.Second, "b", "other"), sound(2500*time.Millisecond, "other"),
 			crash(3*time.Second, "c", "other"), crash(4*time.Second, "d", "other")}, nil, nil},
 		"common part only":         {append(common, crash(1*time.Second, "a", "first"), crash(2*time.Second, "b", "first"), crash(3*time.Second, "c", "first"), crash(4*time.Second, "d", "first")), nil, nil},
-		"hosts that fail together": {rack, nil, nil},
+		"hosts that fail together": {together(12, 9), nil, nil},
+		"few at once":              {together(4, 4), nil, nil},
+		"many at once":             {together(6, 6), nil, []string{"new"}},
+		"many at once, one other":  {together(6, 5), nil, []string{"new"}},
+		"common to all at once":    {append(together(12, 0), sound(0, "other0")), nil, nil},
+		"nothing known, at once":   {unknown, nil, nil},
+		"nothing known, again":     {append(unknown, crash(2*time.Second, "again", "first", "new")), nil, []string{"new"}},
+		"many on two occasions":    {append(together(3, 3), crash(4*time.Second, "a", "new"), crash(4*time.Second, "b", "new")), nil, []string{"new"}},
 		"rare requests":            {rare, nil, []string{"bad"}},
 		"sound until it was not":   {turned, nil, []string{"bad"}},
 		"few others there":         {inCompany, nil, []string{"bad"}},
-		"always together":          {together, nil, []string{"bad"}},
+		"always together":          {inPairs, nil, []string{"bad"}},
 		"evidence too old":         {[]step{crash(0, "a", "bad"), crash(40*time.Minute, "b", "bad"), crash(2*time.Hour, "c", "bad")}, nil, nil},
 		"explained": {[]step{crash(1*time.Second, "a", "bad", "new"), crash(2*time.Second, "b", "bad", "new"), crash(3*time.Second, "c", "bad", "new"),
 			crash(4*time.Second, "d", "bad", "new"), crash(5*time.Second, "e", "bad", "new")}, map[string]Status{"bad": Active}, nil},
@@ -102,20 +119,26 @@
 // answer before them or by a registrar that has lost the crashes.
 func TestIsRefuted(t *testing.T) {
 	tests := map[string]struct {
-		crashes int
+		crashes int           // one a second, or all at once if below 0
 		sound   time.Duration // 0 if never
 		want    bool
 	}{
-		"never sound":         {3, 0, false},
-		"sound before":        {3, time.Millisecond, false},
-		"sound between":       {3, 1500 * time.Millisecond, true},
-		"sound after":         {3, 10 * time.Second, true},
-		"enough since":        {5, 2500 * time.Millisecond, false},
-		"crashes are unknown": {0, 10 * time.Second, false},
+		"never sound":           {3, 0, false},
+		"sound before":          {3, time.Millisecond, false},
+		"sound between":         {3, 1500 * time.Millisecond, true},
+		"sound after":           {3, 10 * time.Second, true},
+		"enough since":          {5, 2500 * time.Millisecond, false},
+		"crashes are unknown":   {0, 10 * time.Second, false},
+		"at once, sound before": {-minServers, time.Millisecond, true},
+		"at once, sound after":  {-minServers, 2 * time.Second, true},
+		"at once, never sound":  {-minServers, 0, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			e := NewEvidence()
+			for i := range -test.crashes {
+				e.AddCrash(start.Add(time.Second), Incarnation{fmt.Sprint(i), 1}, []string{"part"})
+			}
 			for i := range test.crashes {
 				e.AddCrash(start.Add(time.Duration(i+1)*time.Second), Incarnation{fmt.Sprint(i), 1}, []string{"part"})
 			}
