backend: a request of which a byte was written may have run

Where there was no second server, the refusal said that it had not run; a server that answered early and did not read on held the caller until the deadline, with the same promise.

Cause: Send took a failed write for proof that the request cannot have arrived, and did not look at the answer that was there already.

Change: a SendError says "sent" once a byte was written. The connection of an early answer is closed after it.

--- a/internal/coordination/gateway/fake_test.go
+++ b/internal/coordination/gateway/fake_test.go
@@ -39,6 +39,10 @@
 	// returns false.
 	answer func(conn net.Conn, r *http.Request) bool
 
+	// early is asked before the body is read; nil for a server that reads it. The
+	// connection is closed if it returns false.
+	early func(conn net.Conn, r *http.Request) bool
+
 	// health answers health checks; nil answers as the incarnation that is expected.
 	health func(conn net.Conn, r *http.Request) bool
 
@@ -103,6 +107,9 @@
 		if err != nil {
 			return
 		}
+		if f.early != nil && r.URL.Path != healthCheck && !f.early(conn, r) {
+			return
+		}
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -10,7 +10,8 @@
 upholds the guarantees to callers:
 
   - A request that must not run twice is sent again only after proof that it has
-    not run.
+    not run: no byte of it was written, or the backend server says so. A write that
+    fails later is no proof.
   - An answer says "not run" only if no attempt can have run.
   - An answer is forwarded only if a backend server produced it for this request,
     and short ones only once they are complete. A stream that breaks is resumed
--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -4,8 +4,10 @@
 # Concept
 
 A request is written once. This package never resends it; the caller decides on
-a retry. An error of [Client.Send] is a [*SendError], which reports whether the
-backend server may have received the complete request.
+a retry. An error of [Client.Send] is a [*SendError], which reports whether any
+byte of the request has left: from then on it may run, whatever becomes of the
+connection. A backend server may answer before it has read a long body, so the body
+is written while the answer is read, and an answer counts although the write fails.
 
 A connection carries one request at a time. Before it is reused, it is checked
 for having been closed and for unsolicited bytes. A response with another
@@ -31,7 +33,6 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -136,8 +137,7 @@
 
 // SendError reports how far sending a request got.
 type SendError struct {
-	// Sent reports whether the complete request was written, so that it may have
-	// reached the backend server and may have run.
+	// Sent reports whether a byte of the request was written, so that it may run.
 	Sent bool
 	// Connected reports whether a connection was open.
 	Connected bool
@@ -194,6 +194,7 @@
 
 	client *Client
 	conn   *conn
+	upload *upload
 	http   *http.Response
 	body   *trackedBody
 	stop   func() bool
@@ -222,32 +223,31 @@
 		return nil, &SendError{cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { cn.SetDeadline(time.Unix(1, 0)) })
-	fail := func(sent bool, err error) (*Response, error) {
-		stop()
-		cn.Close()
-		if ctx.Err() != nil {
-			err = errors.CombineErrors(ctx.Err(), err)
-		}
-		return nil, &SendError{Sent: sent, Connected: true, cause: err}
-	}
 	if ctx.Err() != nil {
 		// The request ended meanwhile, and an idle connection would accept it.
-		return fail(false, ctx.Err())
-	}
-	if err := req.write(cn); err != nil {
-		// The kernel has not accepted all of it, so the request cannot arrive
-		// complete.
-		return fail(false, err)
+		stop()
+		cn.Close()
+		return nil, &SendError{Connected: true, cause: ctx.Err()}
 	}
+	sent := startUpload(cn, req)
 	res, err := c.readResponse(cn, req)
 	if err != nil {
-		return fail(true, err)
+		stop()
+		cn.Close()
+		written, writeErr := sent.wait()
+		if writeErr != nil {
+			err = errors.Wrapf(err, "the write ended after %d bytes: %v", written, writeErr)
+		}
+		if ctx.Err() != nil {
+			err = errors.CombineErrors(ctx.Err(), err)
+		}
+		return nil, &SendError{Sent: written > 0, Connected: true, cause: err}
 	}
 	body := &trackedBody{Reader: res.Body, answers: cn.answers}
 	return &Response{
 		Status: res.StatusCode, Header: res.Header, Body: body, ContentLength: res.ContentLength,
 		EndsWithConnection: res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.Body != http.NoBody,
-		client:             c, conn: cn, http: res, body: body, stop: stop,
+		client:             c, conn: cn, upload: sent, http: res, body: body, stop: stop,
 	}, nil
 }
 
@@ -278,13 +278,15 @@
 	return nil, errors.Newf("more than %d responses precede the answer", maxHeads)
 }
 
-// Close keeps the connection for reuse if the complete response was read, and
-// closes it otherwise, which makes the backend server stop working on the request.
+// Close keeps the connection for reuse if the request was written and the complete
+// response was read. It closes the connection otherwise, which makes the backend server
+// stop working on the request. The body of the request is not used any more after Close.
 func (r *Response) Close() {
 	cancelled := !r.stop()
 	complete := r.body.complete || r.http.Body == http.NoBody || r.ContentLength == 0
-	if cancelled || !complete || r.http.Close || r.EndsWithConnection || r.conn.reader.Buffered() > 0 {
+	if cancelled || !complete || r.http.Close || r.EndsWithConnection || r.conn.reader.Buffered() > 0 || !r.upload.isComplete() {
 		r.conn.Close()
+		r.upload.wait()
 		return
 	}
 	r.conn.expires = time.Now().Add(idleTimeout(r.Header))
@@ -344,8 +346,12 @@
 	if err != nil {
 		return nil, err
 	}
+	return newConn(nc, address), nil
+}
+
+func newConn(nc net.Conn, address string) *conn {
 	answers := http1.NewReader(nc)
-	return &conn{Conn: nc, address: address, answers: answers, reader: bufio.NewReaderSize(answers, readBufferSize)}, nil
+	return &conn{Conn: nc, address: address, answers: answers, reader: bufio.NewReaderSize(answers, readBufferSize)}
 }
 
 func (c *Client) takeIdle(address string) *conn {
@@ -392,23 +398,3 @@
 		c.idle[address] = kept
 	}
 }
-
-// write writes the complete request.
-func (r *Request) write(w io.Writer) error {
-	b := bufio.NewWriterSize(w, writeBufferSize)
-	fmt.Fprintf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
-	for name, values := range r.Header {
-		for _, v := range values {
-			b.WriteString(name)
-			b.WriteString(": ")
-			b.WriteString(v)
-			b.WriteString("\r\n")
-		}
-	}
-	if r.HasBody {
-		fmt.Fprintf(b, "Content-Length: %d\r\n", len(r.Body))
-	}
-	b.WriteString("\r\n")
-	b.Write(r.Body) // Flush returns the error of any earlier write
-	return b.Flush()
-}
