ranks: lists of experts are checked before they are planned with

One wrong byte in a rank's list of the experts that it hosts ended the leading control process with "index out of range" (target/review-lab spoil, 12 ends in a minute).

Cause: readMap checked the version and the number of sets, and believed the numbers. A list that was spoiled into a possible one led to a plan from a map that is not in use; after an empty one the group was not balanced any more.

Change: a map is used only if each rank lists different experts that exist and each expert is on some rank. Otherwise it is read again with the next plan, which is logged once and counted.

Evidence: 8 of 10 rows of TestSpoiledLists fail before, three by a panic. FuzzCheckMap found nothing in 964,622 inputs.

--- a/internal/coordination/ranks/read.go
+++ b/internal/coordination/ranks/read.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"oleanderrack.example/oleanderrack/pkg/catalog"
 )
 
@@ -85,10 +87,44 @@
 			content[set] = append(content[set], c.sets[set])
 		}
 	}
+	if err := checkMap(content, spec); err != nil {
+		b.scope.Counter("expert_maps_invalid").Inc(1)
+		if reason := err.Error(); s.invalidMap != reason {
+			s.invalidMap = reason
+			b.log.Info("expert map is not used", "group", g.Name, "epoch", g.Epoch, "version", reports[0].MapVersion, "error", reason)
+		}
+		return false
+	}
 	s.current = mapState{epoch: g.Epoch, version: reports[0].MapVersion, content: content}
 	return true
 }
 
+// checkMap returns an error unless each rank hosts different experts of each set, and
+// each expert is hosted by a rank. Lists of ranks in trouble may hold other numbers.
+func checkMap(m Map, spec catalog.Experts) error {
+	for set, hosted := range m {
+		found := make([]int, spec.ExpertsPerSet) // ranks that host it
+		for rank, experts := range hosted {
+			if len(experts) > spec.ExpertsPerSet {
+				return errors.Newf("rank %d lists %d experts of set %d, which has %d", rank, len(experts), set, spec.ExpertsPerSet)
+			}
+			for i, e := range experts {
+				if e < 0 || e >= spec.ExpertsPerSet {
+					return errors.Newf("rank %d lists expert %d of set %d, which has %d", rank, e, set, spec.ExpertsPerSet)
+				}
+				if slices.Contains(experts[:i], e) {
+					return errors.Newf("rank %d lists expert %d of set %d twice", rank, e, set)
+				}
+				found[e]++
+			}
+		}
+		if e := slices.Index(found, 0); e >= 0 {
+			return errors.Newf("no rank lists expert %d of set %d", e, set)
+		}
+	}
+	return nil
+}
+
 // readReports reads the reports of all ranks concurrently. It returns false if any
 // read fails.
 func (b *Rebalancer) readReports(ctx context.Context, g Group, s *groupState) ([]Report, bool) {
--- a/internal/coordination/ranks/rebalancer.go
+++ b/internal/coordination/ranks/rebalancer.go
@@ -113,6 +113,7 @@
 	orderTime      time.Duration // mean duration of a change without its copies
 	passes         passClock
 	declined       declinedStep
+	invalidMap     string // why the lists of the ranks were last not used
 }
 
 // declinedStep is a plan in which no step paid.
