--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -295,7 +295,8 @@
 
 // Close keeps the connection for reuse if the request was written and the complete
 // response was read. Otherwise the connection ends, which makes the backend server stop
-// working on the request, and what has not arrived yet never does. The body of the request is not used any more after Close.
+// working on the request, and what has not arrived yet never does. The body of the
+// request is not used any more after Close.
 func (r *Response) Close() {
 	cancelled := !r.stop()
 	complete := r.body.complete || r.http.Body == http.NoBody || r.ContentLength == 0
