gateway: tests of ended servers do not depend on the scheduler

Cause: the fake server answered health checks after its end, while its connections were closed one after the other; a process that has ended answers nothing. On a busy host a connection may not be opened in time, so the request may not reach the server that is to be cut.

Change: a fake server answers nothing after its end, restarts once the entry has opened its second connection, and a request that has not reached it is sent again, up to five times. What callers get is checked as before.

--- a/internal/coordination/gateway/cut_test.go
+++ b/internal/coordination/gateway/cut_test.go
@@ -43,7 +43,13 @@
 					return false
 				})
 				s.replaceServers(first)
-				status, body, _ := s.send(t, "POST", test.path, "")
+				// On a busy host, a connection may not be open in time.
+				status, body := 0, ""
+				for range 5 {
+					if status, body, _ = s.send(t, "POST", test.path, ""); len(first.requests()) > 0 {
+						break
+					}
+				}
 				if len(first.requests()) == 0 {
 					t.Errorf("cut after %d bytes: the request did not reach the backend server", n)
 				}
--- a/internal/coordination/gateway/ending_test.go
+++ b/internal/coordination/gateway/ending_test.go
@@ -216,8 +216,15 @@
 	return false
 }
 
-// restart ends a server whose next incarnation is back soon under the same name.
+// restart ends a server whose next incarnation is back soon under the same name. It
+// waits for the witness of the entry: one that is opened after the restart cannot tell.
 func restart(t *testing.T, f *fakeServer) {
+	for deadline := time.Now().Add(time.Second); f.connCount() < 2; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Error("the entry has opened no second connection")
+			break
+		}
+	}
 	f.end()
 	time.Sleep(5 * time.Millisecond)
 	l, err := net.Listen("tcp", f.address)
--- a/internal/coordination/gateway/fake_test.go
+++ b/internal/coordination/gateway/fake_test.go
@@ -49,14 +49,27 @@
 	mu    sync.Mutex
 	got   []*http.Request
 	conns []net.Conn
+	// ends counts the ends. A process that has ended answers nothing, although its
+	// connections are closed one after the other.
+	ends int
 }
 
 // end closes all connections and the listener, as the end of a process does.
 func (f *fakeServer) end() {
+	f.mu.Lock()
+	f.ends++
+	f.mu.Unlock()
 	f.listener.Close()
 	f.closeConns()
 }
 
+// hasEnded reports whether the incarnation that began after a number of ends has ended.
+func (f *fakeServer) hasEnded(begun int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ends > begun
+}
+
 func (f *fakeServer) closeConns() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -65,6 +78,13 @@
 	}
 }
 
+// connCount returns the number of connections that were accepted.
+func (f *fakeServer) connCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns)
+}
+
 func (f *fakeServer) answerHealthCheck(conn net.Conn, r *http.Request) bool {
 	if f.health != nil {
 		return f.health(conn, r)
@@ -85,6 +105,9 @@
 func (f *fakeServer) listen(t *testing.T, l net.Listener) {
 	f.listener = l
 	t.Cleanup(func() { l.Close() })
+	f.mu.Lock()
+	begun := f.ends
+	f.mu.Unlock()
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -94,17 +117,17 @@
 			f.mu.Lock()
 			f.conns = append(f.conns, conn)
 			f.mu.Unlock()
-			go f.serve(conn)
+			go f.serve(conn, begun)
 		}
 	}()
 }
 
-func (f *fakeServer) serve(conn net.Conn) {
+func (f *fakeServer) serve(conn net.Conn, begun int) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
 		r, err := http.ReadRequest(reader)
-		if err != nil {
+		if err != nil || f.hasEnded(begun) {
 			return
 		}
 		if f.early != nil && r.URL.Path != healthCheck && !f.early(conn, r) {
