review: case 12, a seed killed at the first start

Cause: a registrar that starts again with first_start = false before the group is bootstrapped does not register as a founder, and the seeds never list the same founders. Change: a script that kills one machine of the core a second after the first start.

--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -35,6 +35,7 @@
 // cases are the cases by their folder.
 var cases = map[string]func(ctx context.Context, s *system, trouble bool) (verdict, error){
 	"11": burstOfLongBodies,
+	"12": seedKilledAtFirstStart,
 }
 
 func main() { os.Exit(run()) }
