review: case 13, a heartbeat that lacks a field

Cause: a heartbeat without version or cold_remaining_ms is accepted, although one with missing fields comes from another writer and names no runner to use. Change: a script in which such a heartbeat names a runner of order-desk as one of assistant-pool.

--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -36,6 +36,7 @@
 var cases = map[string]func(ctx context.Context, s *system, trouble bool) (verdict, error){
 	"11": burstOfLongBodies,
 	"12": seedKilledAtFirstStart,
+	"13": heartbeatWithoutField,
 }
 
 func main() { os.Exit(run()) }
