http1: a parser of messages apart from the reader of answers

Change: messageParser holds that state machine. It also follows requests, of which only the framing matters. TestMemory looks at the same buffer in its new place.

--- a/internal/protocol/http1/head.go
+++ b/internal/protocol/http1/head.go
@@ -149,6 +149,15 @@
 	return math.MaxInt64
 }
 
+// requestBodyLength returns the length of the body after the head of a request,
+// math.MaxInt64 if it is chunked: https://www.rfc-editor.org/rfc/rfc9112#section-6.3.
+func (h *head) requestBodyLength() int64 {
+	if h.chunked {
+		return math.MaxInt64
+	}
+	return max(h.length, 0)
+}
+
 // isToken reports whether name is a token of
 // https://www.rfc-editor.org/rfc/rfc9110#section-5.6.2.
 func isToken[T string | []byte](name T) bool {
--- a/internal/protocol/http1/reader_test.go
+++ b/internal/protocol/http1/reader_test.go
@@ -144,8 +144,8 @@
 			}
 			r := NewReader(strings.NewReader(begin + strings.Repeat(endless, 1<<20)))
 			io.Copy(io.Discard, r)
-			if cap(r.line) > 2*MaxHeadBytes {
-				t.Errorf("%d bytes are held", cap(r.line))
+			if cap(r.parser.line) > 2*MaxHeadBytes {
+				t.Errorf("%d bytes are held", cap(r.parser.line))
 			}
 		})
 	}
