http1: a connection that has failed does not end an answer

Cause: an answer without a length ends with its connection. The kernel reports a reset once; if the write of a long request takes the report, the read sees a plain end, and the witness then finds a server that serves on. So callers got a part of an answer as the whole one, for orders too. Change: Conn follows what is written on a connection and lets its end pass as the end of an answer only if the whole request was written and no write has failed; the read waits for that. The gateway, its witnesses, agents and all clients of net/http read through it. Ruled out: the result of the write at the time of the end, which may not be there yet. Answers with a length or chunks are judged as before.

--- a/internal/acceptance/broken_answers_test.go
+++ b/internal/acceptance/broken_answers_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"oleanderrack.example/oleanderrack/internal/standin"
+	"oleanderrack.example/oleanderrack/pkg/intent"
 )
 
 // Guards against a broken answer of a backend server that reaches a caller, closes its
@@ -71,3 +72,45 @@
 		})
 	}
 }
+
+// Guards against a part of an answer without a length that reaches a caller as a whole
+// one, because the backend server has reset the connection during the upload and serves
+// on. One of the two servers does that to each request.
+func TestResetDuringUploadReachesNoCaller(t *testing.T) {
+	const upload = 8 << 20 // more than the buffers of a connection take
+	s := startSystem(t, options{intent: func(in *intent.Intent) {
+		for i := range in.Services {
+			in.Services[i].MaxBodyBytes = 2 * upload
+		}
+	}})
+	broken := s.backendsOf(plainName)[0]
+	broken.control(t, standin.PlainControl{ResetUploads: 1 << 20})
+	c, ctx := newCaller(), context.Background()
+	const calls = 10
+	answers := map[string]int{}
+	for i := range calls {
+		in := order(fmt.Sprint("key-", i))
+		in.body = strings.Repeat("b", upload)
+		got := c.do(ctx, s.entries[i%len(s.entries)].address, in)
+		switch {
+		case got.isComplete() && got.Body != standin.ResetPart:
+			answers["complete"]++
+		case got.Status == http.StatusBadGateway && got.Fault.Ran == "unknown":
+			answers["unknown"]++
+		default:
+			t.Errorf("an order was answered %v: %q", got, got.Body)
+		}
+	}
+	for key, n := range s.executions() {
+		if n != 1 {
+			t.Errorf("order %s ran %d times", key, n)
+		}
+	}
+	resets := int(record[standin.PlainRecord](t, broken).Resets)
+	if resets == 0 {
+		t.Error("no request reached the broken server")
+	}
+	if diff := cmp.Diff(map[string]int{"complete": calls - resets, "unknown": resets}, answers); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/coordination/runner/call_test.go
+++ b/internal/coordination/runner/call_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"oleanderrack.example/oleanderrack/internal/protocol/peer"
 	"oleanderrack.example/oleanderrack/internal/standin"
 )
@@ -88,6 +90,35 @@
 	return "none"
 }
 
+// Guards against a part of an answer without a length that an agent relays as a whole
+// one, or records in the ledger as the answer to an order, because the service has reset
+// the connection during the upload and runs on.
+func TestResetDuringUpload(t *testing.T) {
+	for _, method := range []string{"POST", "GET"} {
+		t.Run(method, func(t *testing.T) {
+			b := newHarness(t, nil)
+			p := b.plain(standin.PlainConfig{Name: "desk-1"})
+			p.Apply(standin.PlainControl{ResetUploads: 1})
+			req := b.order("r", "desk-1", method, "/orders")
+			req.Body, req.Repeatable = make([]byte, 8<<20), method == "GET"
+			want := []any{"backend_failed/unknown", "", 1}
+			if method == "POST" {
+				req.Key = &peer.KeyRef{ClientAccount: "a", Service: "order-desk", Key: "key-r"}
+				want[1] = "unknown"
+			}
+			got := b.dispatch(context.Background(), req)
+			outcome := ""
+			for _, c := range b.control.completions() {
+				outcome += describeOutcome(c)
+			}
+			if diff := cmp.Diff(want, []any{got.kind(), outcome, p.Record().Executions["key-r"]}); diff != "" {
+				t.Error(diff, got.err)
+			}
+			b.checkBroken("end")
+		})
+	}
+}
+
 // Guards against a call that is aborted when its caller disconnects or its
 // deadline passes: it must continue, and its outcome must be in the ledger and
 // in the answer to a cancellation.
--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -178,10 +178,9 @@
 
 // conn is one connection to a backend server.
 type conn struct {
-	net.Conn
+	*http1.Conn
 	address string
-	answers *http1.Reader // below reader
-	reader  *bufio.Reader
+	reader  *bufio.Reader // of what Conn passes on
 	expires time.Time
 	// delivery is the bound on the delivery of what is written; 0 if there is none.
 	delivery time.Duration
@@ -209,7 +208,7 @@
 // trackedBody records whether the body was read to the end of its framing.
 type trackedBody struct {
 	io.Reader
-	answers  *http1.Reader
+	conn     *conn
 	complete bool
 }
 
@@ -218,7 +217,7 @@
 	if err == io.EOF {
 		b.complete = true
 	}
-	return n, b.answers.Explain(err)
+	return n, b.conn.Explain(err)
 }
 
 // Send writes a request and reads the head of its response. The context bounds
@@ -240,11 +239,12 @@
 		cn.Close()
 		return nil, &SendError{Connected: true, cause: err}
 	}
+	cn.Expect(req.Method)
 	sent := startUpload(cn, req)
 	res, err := c.readResponse(cn, req)
 	if err != nil {
 		stop()
-		tcp.Reset(cn.Conn)
+		cn.Reset()
 		written, writeErr := sent.wait()
 		if writeErr != nil {
 			err = errors.Wrapf(err, "the write ended after %d bytes: %v", written, writeErr)
@@ -258,7 +258,7 @@
 		// It has arrived. The answer may pause for longer.
 		cn.boundDelivery(0)
 	}
-	body := &trackedBody{Reader: res.Body, answers: cn.answers}
+	body := &trackedBody{Reader: res.Body, conn: cn}
 	return &Response{
 		Status: res.StatusCode, Header: res.Header, Body: body, ContentLength: res.ContentLength,
 		EndsWithConnection: res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.Body != http.NoBody,
@@ -268,12 +268,11 @@
 
 // readResponse reads the response to req and skips responses to other requests.
 func (c *Client) readResponse(cn *conn, req *Request) (*http.Response, error) {
-	cn.answers.Expect(req.Method)
 	skipped := 0
 	for range maxHeads {
 		res, err := http.ReadResponse(cn.reader, &http.Request{Method: req.Method})
 		if err != nil {
-			return nil, errors.Wrap(cn.answers.Explain(err), "response cannot be read")
+			return nil, errors.Wrap(cn.Explain(err), "response cannot be read")
 		}
 		if res.StatusCode >= 100 && res.StatusCode < 200 {
 			continue
@@ -302,7 +301,7 @@
 	complete := r.body.complete || r.http.Body == http.NoBody || r.ContentLength == 0
 	switch {
 	case cancelled, !complete, !r.upload.isComplete():
-		tcp.Reset(r.conn.Conn)
+		r.conn.Reset()
 		r.upload.wait()
 		return
 	case r.http.Close, r.EndsWithConnection, r.conn.reader.Buffered() > 0:
@@ -375,7 +374,7 @@
 	if timeout == c.delivery {
 		return nil
 	}
-	t, ok := c.Conn.(*net.TCPConn)
+	t, ok := c.NetConn().(*net.TCPConn)
 	if !ok {
 		return nil
 	}
@@ -388,8 +387,8 @@
 }
 
 func newConn(nc net.Conn, address string) *conn {
-	answers := http1.NewReader(nc)
-	return &conn{Conn: nc, address: address, answers: answers, reader: bufio.NewReaderSize(answers, readBufferSize)}
+	judged := http1.NewConn(nc)
+	return &conn{Conn: judged, address: address, reader: bufio.NewReaderSize(judged, readBufferSize)}
 }
 
 func (c *Client) takeIdle(address string) *conn {
--- a/internal/protocol/backend/idle.go
+++ b/internal/protocol/backend/idle.go
@@ -12,7 +12,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
+	tcp, ok := c.NetConn().(*net.TCPConn)
 	if !ok {
 		return true
 	}
--- a/internal/protocol/backend/witness.go
+++ b/internal/protocol/backend/witness.go
@@ -212,6 +212,7 @@
 		Method: http.MethodGet, Target: healthCheck, Host: w.address,
 		Header: http.Header{http.CanonicalHeaderKey(headers.ExpectedIncarnation): {incarnation}},
 	}
+	cn.Expect(req.Method)
 	if err := req.write(cn); err != nil {
 		return Unknown, HealthAnswer{}
 	}
--- a/internal/protocol/http1/http1.go
+++ b/internal/protocol/http1/http1.go
@@ -12,15 +12,21 @@
 that breaks the grammar and returns an [*Error], so that no parser above it sees a
 complete head, or the end of a body, that breaks the grammar.
 
-Every reader of answers reads through this package: directly, or by [NewTransport].
+An answer may have neither a length nor chunks and end with its connection. A [Conn]
+lets the end of the connection pass as the end of an answer only if the whole request
+was written and no write has failed: the kernel reports a reset once, and if a write
+takes the report, the read sees a plain end.
+
+Every reader of answers reads through this package: by a Conn, or by [NewTransport].
 Heads that arrive in another encoding are judged by [CheckStatus] and [CheckField].
 
 # Use
 
-	reader := http1.NewReader(conn)
-	reader.Expect(http.MethodGet)
-	res, err := http.ReadResponse(bufio.NewReader(reader), req)
-	if broken, ok := http1.Broken(err); ok { ... broken.Part }
+	conn := http1.NewConn(c)
+	conn.Expect(http.MethodGet) // before the request is written
+	...
+	res, err := http.ReadResponse(bufio.NewReader(conn), req)
+	if broken, ok := http1.Broken(conn.Explain(err)); ok { ... broken.Part }
 
 	client := &http.Client{Transport: http1.NewTransport(&http.Transport{})}
 */
@@ -34,7 +40,7 @@
 
 //go:generate go tool stringer -type=Part -linecomment -output=part_string.go
 
-// Part is the part of an answer that breaks the grammar.
+// Part is the part of an answer that breaks the protocol.
 type Part uint8
 
 const (
@@ -45,6 +51,9 @@
 	Chunk                  // chunk
 	// Size is a line, head or trailer that is longer than its limit.
 	Size // size
+	// End is the end of a connection that does not show the end of its answer, since
+	// the connection has failed.
+	End // end
 )
 
 // maxQuotedBytes bounds the bytes of an answer in an error.
--- a/internal/protocol/http1/parser.go
+++ b/internal/protocol/http1/parser.go
@@ -53,6 +53,10 @@
 	ended int
 }
 
+// endsWithConnection reports whether nothing but the end of the connection marks the
+// end of the current body.
+func (p *messageParser) endsWithConnection() bool { return p.at == atBody && p.left == math.MaxInt64 }
+
 // judge judges the next part of data and returns how many bytes of it are passed on.
 func (p *messageParser) judge(data []byte) (int, *Error) {
 	if p.at != atBody && p.at != atChunk {
--- a/internal/protocol/http1/part_string.go
+++ b/internal/protocol/http1/part_string.go
@@ -14,11 +14,12 @@
 	_ = x[Framing-3]
 	_ = x[Chunk-4]
 	_ = x[Size-5]
+	_ = x[End-6]
 }
 
-const _Part_name = "status_linefield_namefield_valueframingchunksize"
+const _Part_name = "status_linefield_namefield_valueframingchunksizeend"
 
-var _Part_index = [...]uint8{0, 11, 21, 32, 39, 44, 48}
+var _Part_index = [...]uint8{0, 11, 21, 32, 39, 44, 48, 51}
 
 func (i Part) String() string {
 	idx := int(i) - 0
--- a/internal/protocol/http1/reader.go
+++ b/internal/protocol/http1/reader.go
@@ -7,12 +7,15 @@
 
 // Reader passes on the answers of one connection and judges them; see the package's
 // documentation. Read must be called by one goroutine at a time. It is created by
-// NewReader.
+// NewReader, or as part of a Conn.
 type Reader struct {
 	source io.Reader
 	method atomic.Pointer[string]
 	parser messageParser
 	err    atomic.Pointer[Error]
+	// judgeEnd judges the error of the source that ends an answer which nothing else
+	// ends. If it is nil, the end of the source is the end of the answer.
+	judgeEnd func(error) error
 }
 
 // NewReader returns a Reader for a connection from which nothing has been read yet.
@@ -49,5 +52,11 @@
 			return judged, broken
 		}
 	}
+	if err != nil && r.judgeEnd != nil && r.parser.endsWithConnection() {
+		err = r.judgeEnd(err)
+		if broken, ok := Broken(err); ok {
+			r.err.Store(broken)
+		}
+	}
 	return n, err
 }
--- a/internal/protocol/http1/transport.go
+++ b/internal/protocol/http1/transport.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
-
-	"oleanderrack.example/oleanderrack/internal/transport/tcp"
 )
 
 // Transport is an [http.RoundTripper] whose connections judge the answers. The error of
@@ -20,21 +18,18 @@
 	base *http.Transport
 }
 
-// conn is a connection that is read through a Reader.
+// conn is a connection of a Transport.
 type conn struct {
-	net.Conn
-	reader *Reader
+	*Conn
 	// pending is set while a request has no answer.
 	pending atomic.Bool
 }
 
-func (c *conn) Read(p []byte) (int, error) { return c.reader.Read(p) }
-
 // Close resets the connection if its request is given up, so that the kernel does not go
 // on delivering it.
 func (c *conn) Close() error {
 	if c.pending.Load() {
-		return tcp.Reset(c.Conn)
+		return c.Reset()
 	}
 	return c.Conn.Close()
 }
@@ -51,7 +46,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: c, reader: NewReader(c)}, nil
+		return &conn{Conn: NewConn(c)}, nil
 	}
 	return &Transport{base: base}
 }
@@ -68,7 +63,7 @@
 	var last atomic.Pointer[conn] // that the request was sent on
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*conn); ok {
-			c.reader.Expect(req.Method)
+			c.Expect(req.Method)
 			c.pending.Store(true)
 			last.Store(c)
 		}
@@ -79,11 +74,11 @@
 	case c == nil:
 		return res, err
 	case err != nil:
-		return nil, c.reader.Explain(err)
+		return nil, c.Explain(err)
 	}
 	c.pending.Store(false)
 	if res.Body != http.NoBody {
-		res.Body = &body{ReadCloser: res.Body, reader: c.reader}
+		res.Body = &body{ReadCloser: res.Body, conn: c.Conn}
 	}
 	return res, nil
 }
@@ -91,12 +86,12 @@
 // body explains the errors of a body.
 type body struct {
 	io.ReadCloser
-	reader *Reader
+	conn *Conn
 }
 
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	return n, b.reader.Explain(err)
+	return n, b.conn.Explain(err)
 }
 
 // CloseIdleConnections closes connections that are kept for reuse.
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -63,9 +64,18 @@
 	// bytes of RawAnswer, before the connection is closed.
 	RawAnswers int    `json:"raw"`
 	RawAnswer  string `json:"raw_answer"`
-	Leaving    bool   `json:"leaving"`
+	// ResetUploads is the number of requests whose connection is reset after ResetPart
+	// of an answer without a length, before their body is read. They are executed.
+	ResetUploads int  `json:"reset_uploads"`
+	Leaving      bool `json:"leaving"`
 }
 
+// ResetPart is the part of the body that precedes a reset.
+const ResetPart = "part"
+
+// resetUploadDelay is long enough for an upload to fill the buffers of its connection.
+const resetUploadDelay = 20 * time.Millisecond
+
 const headerIdempotencyKey = "Idempotency-Key"
 
 // StartPlain starts a plain service that runs until ctx ends.
@@ -154,6 +164,11 @@
 }
 
 func (p *Plain) handleRequest(w http.ResponseWriter, r *http.Request) {
+	if p.resetsUpload() {
+		p.execute(r.Header.Get(headerIdempotencyKey), r.Method+" "+r.URL.Path)
+		resetUpload(w)
+		return
+	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
 	if err != nil {
 		panic(http.ErrAbortHandler)
@@ -222,6 +237,18 @@
 	return plan
 }
 
+// resetsUpload reports whether the connection of a request is reset during its upload.
+func (p *Plain) resetsUpload() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !consume(&p.control.ResetUploads) {
+		return false
+	}
+	p.record.Received++
+	p.record.Resets++
+	return true
+}
+
 func (p *Plain) release() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -300,6 +327,18 @@
 	io.WriteString(conn, answer)
 }
 
+// resetUpload writes a part of an answer that ends with its connection, and resets it.
+func resetUpload(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+ResetPart)
+	time.Sleep(resetUploadDelay)
+	conn.(*net.TCPConn).SetLinger(0)
+}
+
 // patternBytes returns n bytes of a repeating pattern.
 func patternBytes(n int) []byte {
 	b := make([]byte, n)
