--- a/internal/transport/client/once_test.go
+++ b/internal/transport/client/once_test.go
@@ -38,6 +38,16 @@
 			}
 		}
 	}
+	resetting := func(text string) func(net.Conn, *bufio.Reader) {
+		return func(conn net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err == nil {
+				io.WriteString(conn, text)
+			}
+			time.Sleep(20 * time.Millisecond)
+			conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+		}
+	}
 	type result struct {
 		Status      int
 		Failed      bool
@@ -64,6 +74,12 @@
 		"status 600":              {raw("HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n"), nil, "x", result{Failed: true, Sent: true, Connections: 1, Reset: true}},
 		"blank in a name":         {raw("HTTP/1.1 429 X\r\nRetry After: 1\r\nContent-Length: 0\r\n\r\n"), nil, "x", result{Failed: true, Sent: true, Connections: 1, Reset: true}},
 		"control byte in a value": {raw("HTTP/1.1 204 X\r\nX-Note: \x01\r\n\r\n"), nil, "x", result{Failed: true, Sent: true, Connections: 1, Reset: true}},
+		// Neither must an answer that breaks off.
+		"body reset":         {resetting("HTTP/1.1 429 X\r\nContent-Length: 4\r\n\r\nno"), nil, "x", result{Failed: true, Sent: true, Connections: 1}},
+		"body cut":           {raw("HTTP/1.1 429 X\r\nContent-Length: 4\r\n\r\nno"), nil, "x", result{Failed: true, Sent: true, Connections: 1, Reset: true}},
+		"broken chunk":       {raw("HTTP/1.1 429 X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\nx\r\n"), nil, "x", result{Failed: true, Sent: true, Connections: 1, Reset: true}},
+		"no length, reset":   {resetting("HTTP/1.1 429 X\r\n\r\nno"), nil, "x", result{Failed: true, Sent: true, Connections: 1}},
+		"body without limit": {raw("HTTP/1.1 429 X\r\n\r\n" + strings.Repeat("no", maxOnceBytes)), nil, "x", result{Status: 429, Connections: 1, Reset: true}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
