http1: answers can be read only through a Conn or a Transport

Cause: a caller of NewReader on a bare connection would not notice that the write of its request has taken the report of a reset, as client.Once could not. Change: the reader of answers is not exported any more; Conn documents its methods.

--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -16,7 +16,7 @@
 // created by NewConn.
 type Conn struct {
 	net.Conn
-	answers *Reader
+	answers *answerReader
 
 	mu       sync.Mutex
 	changed  sync.Cond // signals a change of the fields below
@@ -28,7 +28,7 @@
 
 // NewConn returns a Conn on a connection that was just opened.
 func NewConn(conn net.Conn) *Conn {
-	c := &Conn{Conn: conn, answers: NewReader(conn), requests: messageParser{requests: true}}
+	c := &Conn{Conn: conn, answers: newAnswerReader(conn), requests: messageParser{requests: true}}
 	c.changed.L = &c.mu
 	c.answers.judgeEnd = c.judgeEnd
 	return c
@@ -37,18 +37,19 @@
 // Expect announces a request with the given method. It must be called before the request
 // is written, and when the one before has been.
 func (c *Conn) Expect(method string) {
-	c.answers.Expect(method)
+	c.answers.expect(method)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.expected = c.requests.ended + 1
 }
 
-// Read reads answers, like Reader.Read. The end of the connection is an *Error if it
-// would end an answer although the connection has failed.
+// Read reads answers. The error is an *Error once an answer has broken the grammar, and
+// if the end of the connection would end an answer although the connection has failed.
 func (c *Conn) Read(p []byte) (int, error) { return c.answers.Read(p) }
 
-// Explain is Reader.Explain.
-func (c *Conn) Explain(err error) error { return c.answers.Explain(err) }
+// Explain returns the *Error if an answer on this connection has broken the protocol, and
+// otherwise err. Parsers do not always pass on the error of Read.
+func (c *Conn) Explain(err error) error { return c.answers.explain(err) }
 
 // Write writes a part of a request.
 func (c *Conn) Write(p []byte) (int, error) {
--- a/internal/protocol/http1/http1.go
+++ b/internal/protocol/http1/http1.go
@@ -6,7 +6,7 @@
 
 The parser of net/http is lenient: it takes a status of 000, skips or keeps lines that
 are no fields, and ignores framing fields that it does not understand. Such an answer
-comes from a server in trouble, and where its body ends is a guess. A [Reader] judges
+comes from a server in trouble, and where its body ends is a guess. A [Conn] judges
 all that it passes on: status lines, names and values of fields, framing fields, sizes
 of chunks and trailers, in interim heads too. It withholds the end of the first line
 that breaks the grammar and returns an [*Error], so that no parser above it sees a
--- a/internal/protocol/http1/reader.go
+++ b/internal/protocol/http1/reader.go
@@ -5,10 +5,10 @@
 	"sync/atomic"
 )
 
-// Reader passes on the answers of one connection and judges them; see the package's
+// answerReader passes on the answers of one connection and judges them; see the package's
 // documentation. Read must be called by one goroutine at a time. It is created by
-// NewReader, or as part of a Conn.
-type Reader struct {
+// newAnswerReader.
+type answerReader struct {
 	source io.Reader
 	method atomic.Pointer[string]
 	parser messageParser
@@ -18,16 +18,17 @@
 	judgeEnd func(error) error
 }
 
-// NewReader returns a Reader for a connection from which nothing has been read yet.
-func NewReader(source io.Reader) *Reader { return &Reader{source: source} }
+// newAnswerReader returns an answerReader for a connection from which nothing has been
+// read yet.
+func newAnswerReader(source io.Reader) *answerReader { return &answerReader{source: source} }
 
-// Expect sets the method of the request that the next answer is for. The answer to HEAD
+// expect sets the method of the request that the next answer is for. The answer to HEAD
 // has no body.
-func (r *Reader) Expect(method string) { r.method.Store(&method) }
+func (r *answerReader) expect(method string) { r.method.Store(&method) }
 
-// Explain returns the *Error if an answer on this connection has broken the grammar, and
+// explain returns the *Error if an answer on this connection has broken the grammar, and
 // otherwise err. Parsers do not always pass on the error of Read.
-func (r *Reader) Explain(err error) error {
+func (r *answerReader) explain(err error) error {
 	if broken := r.err.Load(); broken != nil && err != nil && err != io.EOF {
 		return broken
 	}
@@ -36,7 +37,7 @@
 
 // Read reads from the connection. The error is an *Error once an answer has broken the
 // grammar; the bytes before that are passed on.
-func (r *Reader) Read(p []byte) (int, error) {
+func (r *answerReader) Read(p []byte) (int, error) {
 	if broken := r.err.Load(); broken != nil {
 		return 0, broken
 	}
--- a/internal/protocol/http1/reader_test.go
+++ b/internal/protocol/http1/reader_test.go
@@ -14,7 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// answer is one answer as a parser above a Reader sees it.
+// answer is one answer as a parser above an answerReader sees it.
 type answer struct {
 	Status int
 	Header http.Header
@@ -24,17 +24,17 @@
 // readAnswers reads the answers to requests with the given methods, interim ones
 // included, and returns the text of the error that ends them.
 func readAnswers(source io.Reader, methods ...string) (answers []answer, problem string) {
-	judged := NewReader(source)
+	judged := newAnswerReader(source)
 	reader := bufio.NewReader(judged)
 	for len(methods) > 0 {
-		judged.Expect(methods[0])
+		judged.expect(methods[0])
 		res, err := http.ReadResponse(reader, &http.Request{Method: methods[0]})
 		if err != nil {
-			return answers, describe(judged.Explain(err))
+			return answers, describe(judged.explain(err))
 		}
 		body, err := io.ReadAll(res.Body)
 		if err != nil {
-			return answers, describe(judged.Explain(err))
+			return answers, describe(judged.explain(err))
 		}
 		answers = append(answers, answer{Status: res.StatusCode, Header: res.Header, Body: string(body)})
 		if res.StatusCode >= 200 {
@@ -111,7 +111,7 @@
 // broken the grammar.
 func TestNothingAfterBreak(t *testing.T) {
 	const begin = "HTTP/1.1 200 OK\r\n"
-	r := NewReader(strings.NewReader(begin + "X Y: z\r\n\r\n"))
+	r := newAnswerReader(strings.NewReader(begin + "X Y: z\r\n\r\n"))
 	got, err := io.ReadAll(r)
 	if broken, ok := Broken(err); !ok || broken.Part != FieldName {
 		t.Errorf("error %v, want one about the name of a field", err)
@@ -122,7 +122,7 @@
 	if n, err := r.Read(make([]byte, 10)); n != 0 || describe(err) != "field_name" {
 		t.Errorf("a further read returned %d bytes and %v", n, err)
 	}
-	if err := r.Explain(io.EOF); err != io.EOF {
+	if err := r.explain(io.EOF); err != io.EOF {
 		t.Errorf("the end of a complete body is reported as %v", err)
 	}
 }
@@ -142,7 +142,7 @@
 			if begin == "" {
 				begin = "HTTP/1.1 103 X\r\n"
 			}
-			r := NewReader(strings.NewReader(begin + strings.Repeat(endless, 1<<20)))
+			r := newAnswerReader(strings.NewReader(begin + strings.Repeat(endless, 1<<20)))
 			io.Copy(io.Discard, r)
 			if cap(r.parser.line) > 2*MaxHeadBytes {
 				t.Errorf("%d bytes are held", cap(r.parser.line))
@@ -200,7 +200,7 @@
 			for b.Loop() {
 				var r io.Reader = strings.NewReader(text)
 				if judged {
-					r = NewReader(r)
+					r = newAnswerReader(r)
 				}
 				for {
 					if _, err := r.Read(buffer); err != nil {
