--- a/internal/coordination/gateway/cut_test.go
+++ b/internal/coordination/gateway/cut_test.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"strings"
 	"testing"
-
-	"oleanderrack.example/oleanderrack/internal/coordination/follower"
 )
 
 // TestServerEndsAfterEachByte guards against an answer that looks whole although its
@@ -33,11 +31,7 @@
 				var first *fakeServer
 				first = newFakeServer(t, func(conn net.Conn, _ *http.Request) bool {
 					// The other backend server appears now, so that this one is asked first.
-					s.gateway.mu.Lock()
-					v := *s.gateway.view
-					s.gateway.mu.Unlock()
-					v.Servers = append(v.Servers[:1:1], follower.Server{ID: "second", StartedMS: 1, Service: "pool", Address: second.address, Slots: 8})
-					s.gateway.Update(&v)
+					s.asSecond(second)
 					fmt.Fprint(conn, answer[:n])
 					first.end()
 					return false
--- a/internal/coordination/gateway/ending_test.go
+++ b/internal/coordination/gateway/ending_test.go
@@ -321,11 +321,7 @@
 				return events(conn, r, 3, true, "")
 			})
 			s.replaceServers(first)
-			s.gateway.mu.Lock()
-			v := *s.gateway.view
-			s.gateway.mu.Unlock()
-			v.Servers = append(v.Servers[:1:1], follower.Server{ID: "second", StartedMS: 1, Service: "pool", Address: second.address, Slots: 8})
-			s.gateway.Update(&v)
+			s.asSecond(second)
 			var body string
 			var sends int
 			// The choice between equal servers is random; the first one must be asked.
--- a/internal/coordination/gateway/reset_test.go
+++ b/internal/coordination/gateway/reset_test.go
@@ -91,9 +91,12 @@
 					if diff := cmp.Diff(want, result{status, body, first.Load(), sends.Load()}); diff != "" {
 						t.Error(diff)
 					}
-					// What may be repeated is sent again after 200 ms without data.
+					// An attempt that may be repeated can be given up as silent before the reset.
 					silent := s.scope.Snapshot().Counters()["attempts_failed+reason=silent"]
-					if silent != nil && route.want.Sends == 2 {
+					if silent != nil && silent.Value() == 1 && route.want.Sends == 2 {
+						if n := s.count("broken_answers"); n != 0 {
+							t.Errorf("%d broken answers are counted for a silent attempt", n)
+						}
 						return
 					}
 					if n := s.count("broken_answers"); n != 1 {
--- a/internal/protocol/http1/conn_test.go
+++ b/internal/protocol/http1/conn_test.go
@@ -224,10 +224,10 @@
 		end   func(*net.TCPConn, io.Reader)
 		whole bool
 	}{
-		"reset at once":     {reset(0), false},
-		"reset after 1 ms":  {reset(time.Millisecond), false},
-		"reset after 20 ms": {reset(20 * time.Millisecond), false},
-		"reset after .4 s":  {reset(400 * time.Millisecond), false},
+		"reset at once":      {reset(0), false},
+		"reset after 1 ms":   {reset(time.Millisecond), false},
+		"reset after 20 ms":  {reset(20 * time.Millisecond), false},
+		"reset after 400 ms": {reset(400 * time.Millisecond), false},
 		"half-closed": {func(c *net.TCPConn, body io.Reader) {
 			c.CloseWrite()
 			time.Sleep(20 * time.Millisecond)
@@ -247,7 +247,9 @@
 				address := answerUploads(t, head+"done", test.end)
 				client := &http.Client{Transport: NewTransport(&http.Transport{}), Timeout: 10 * time.Second}
 				defer client.CloseIdleConnections()
-				res, err := client.Post("http://"+address, "text/plain", io.LimitReader(strings.NewReader(strings.Repeat("b", upload)), upload))
+				// Its length is not known to net/http, which sends it in chunks.
+				request := io.LimitReader(strings.NewReader(strings.Repeat("b", upload)), upload)
+				res, err := client.Post("http://"+address, "text/plain", request)
 				var body []byte
 				if err == nil {
 					body, err = io.ReadAll(res.Body)
