intake: build the server with its listener

Listener.Configure had to be called on each http.Server, and a listener whose server was not configured would have had none of the limits. The size of the send buffer moves from the server package into the listener.

No change of behaviour is meant. go test -race ./internal/transport/... ./internal/coordination/gateway ./platform passes.

--- a/internal/transport/intake/conn_test.go
+++ b/internal/transport/intake/conn_test.go
@@ -26,8 +26,7 @@
 		t.Fatal(err)
 	}
 	l.SetLimits(limits)
-	srv := &http.Server{Handler: handler}
-	l.Configure(srv)
+	srv := l.NewServer(handler, nil)
 	go srv.Serve(l)
 	t.Cleanup(func() { srv.Close() })
 	return l, srv
@@ -215,7 +214,7 @@
 				t.Fatal(err)
 			}
 			l.bodyTimeout = bodyTimeout
-			srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			srv := l.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				io.Copy(io.Discard, r.Body)
 				select {
 				case <-r.Context().Done():
@@ -227,8 +226,7 @@
 				http.NewResponseController(w).Flush()
 				<-r.Context().Done()
 				ended <- nil
-			})}
-			l.Configure(srv)
+			}), nil)
 			go srv.Serve(l)
 			defer srv.Close()
 			conn := dial(t, l, request)
--- a/internal/transport/intake/intake.go
+++ b/internal/transport/intake/intake.go
@@ -24,17 +24,19 @@
 and logged at most once in ten seconds for each reason.
 
 [Bodies] bounds the bodies that handlers read, in the same way: the slowest one gives way.
+After a body that was not read to its end, the connection is closed with the answer.
 
 # Use
 
 	socket, err := intake.Listen(address, intake.Config{Name: "callers", Budget: budget, ...})
-	srv := &http.Server{Handler: handler}
-	socket.Configure(srv)
+	srv := socket.NewServer(handler, nil)
 	err = srv.Serve(socket)
 */
 package intake
 
 import (
+	"context"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -104,7 +106,10 @@
 	// WriteTimeout bounds the time for writing an answer, unless the handler sets a
 	// deadline. 0 sets no limit.
 	WriteTimeout time.Duration
-	Log          hclog.Logger
+	// WriteBuffer bounds the bytes that the kernel buffers for a connection with a
+	// slow reader; 0 leaves the system's default, which is a few MB.
+	WriteBuffer int
+	Log         hclog.Logger
 	Scope        tally.Scope
 }
 
@@ -156,21 +161,30 @@
 	l.ledger.maxIdle = limits.IdleTimeout
 }
 
-// Configure sets the limits of a server that serves l, and the hook with which l follows
-// its connections.
-func (l *Listener) Configure(srv *http.Server) {
-	srv.ReadHeaderTimeout = freshTimeout
-	srv.ReadTimeout = l.bodyTimeout
-	srv.WriteTimeout = l.cfg.WriteTimeout
-	srv.IdleTimeout = l.cfg.IdleTimeout
-	srv.MaxHeaderBytes = 2 * maxHeaderBytes
-	srv.ConnState = func(c net.Conn, state http.ConnState) {
-		if c, ok := c.(*Conn); ok {
-			c.setState(state)
-		}
+// NewServer returns a server for the requests of l's connections. errorLog may be nil.
+func (l *Listener) NewServer(handler http.Handler, errorLog *log.Logger) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ErrorLog:          errorLog,
+		ReadHeaderTimeout: freshTimeout,
+		ReadTimeout:       l.bodyTimeout,
+		WriteTimeout:      l.cfg.WriteTimeout,
+		IdleTimeout:       l.cfg.IdleTimeout,
+		MaxHeaderBytes:    2 * maxHeaderBytes,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if c, ok := c.(*Conn); ok {
+				c.setState(state)
+			}
+		},
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
 	}
 }
 
+// connKey is the key of a request's *Conn in its context.
+type connKey struct{}
+
 // Accept returns the next connection that the budget has room for. Others are closed.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
@@ -178,6 +192,11 @@
 		if err != nil {
 			return nil, err
 		}
+		if l.cfg.WriteBuffer > 0 {
+			if err := socket.SetWriteBuffer(l.cfg.WriteBuffer); err != nil {
+				l.cfg.Log.Debug("send buffer size could not be set", "error", err)
+			}
+		}
 		c := &Conn{TCPConn: socket, listener: l}
 		c.account.owner = c
 		l.mu.Lock()
--- a/internal/transport/server/server.go
+++ b/internal/transport/server/server.go
@@ -14,7 +14,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -64,7 +63,7 @@
 // common routes.
 func New(cfg Config) (*Server, error) {
 	l, err := intake.Listen(cfg.Listen, intake.Config{
-		Name: cfg.Name, Budget: cfg.Budget, IdleTimeout: idleTimeout, Log: cfg.Log.Named("intake"), Scope: cfg.Scope,
+		Name: cfg.Name, Budget: cfg.Budget, IdleTimeout: idleTimeout, WriteBuffer: cfg.WriteBuffer, Log: cfg.Log.Named("intake"), Scope: cfg.Scope,
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "server: listen")
@@ -90,14 +89,7 @@
 // Run serves until ctx ends and then drains: it turns readiness off, waits for
 // Settle, refuses new connections, and returns when no request is in flight.
 func (s *Server) Run(ctx context.Context) error {
-	srv := &http.Server{
-		Handler:  s.Echo,
-		ErrorLog: s.cfg.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-	}
-	s.listener.Configure(srv)
-	if s.cfg.WriteBuffer > 0 {
-		srv.ConnContext = s.setWriteBuffer
-	}
+	srv := s.listener.NewServer(s.Echo, s.cfg.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}))
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- srv.Serve(s.listener) }()
 	select {
@@ -113,16 +105,6 @@
 	return errors.Wrap(err, "server: shutdown")
 }
 
-// setWriteBuffer sets the size of a new connection's send buffer.
-func (s *Server) setWriteBuffer(ctx context.Context, c net.Conn) context.Context {
-	if tcp, ok := c.(interface{ SetWriteBuffer(int) error }); ok {
-		if err := tcp.SetWriteBuffer(s.cfg.WriteBuffer); err != nil {
-			s.cfg.Log.Debug("send buffer size could not be set", "error", err)
-		}
-	}
-	return ctx
-}
-
 func (s *Server) readyz(c echo.Context) error {
 	if s.IsDraining() {
 		return c.String(http.StatusServiceUnavailable, "draining\n")
