intake: a body that gives way leaves its connection sound or closed

A connection now ends the reads of a body only while the request is incomplete, under the lock under which it learns of the end. A body that was not read to its end, whatever ended it, closes its connection with the answer; the caller has half a second to read the answer before unread bytes reset the connection, as net/http grants it after a body over its limit. LimitBody keeps that for bodies over a limit where the writer of the answer is wrapped.

--- a/internal/coordination/gateway/admit.go
+++ b/internal/coordination/gateway/admit.go
@@ -128,7 +128,7 @@
 	c.held = c.gateway.bodies.Attach(c.writer, c.request)
 	// The deadline bounds the read: a caller that stops sending holds memory.
 	http.NewResponseController(c.writer).SetReadDeadline(bodyDeadline(c.arrived, c.deadline))
-	body, err := intake.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, limit), c.request.ContentLength)
+	body, err := intake.ReadAll(intake.LimitBody(c.writer, c.request, limit), c.request.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/internal/transport/intake/bodies.go
+++ b/internal/transport/intake/bodies.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"time"
 )
@@ -43,14 +44,18 @@
 type Body struct {
 	bodies  *Bodies
 	src     io.ReadCloser
-	control *http.ResponseController
+	conn    *Conn // nil if the server is not one of NewServer's
+	writer  http.ResponseWriter
 	account bodyAccount
 }
 
 // Attach replaces the body of a request by one whose bytes count. Its reads fail with
-// ErrShortage if there is no room for them.
+// ErrShortage if there is no room for them. If it is not read to its end, the connection
+// is closed with the answer. A body gives way in the middle of a read only on connections
+// of NewServer's servers, otherwise at its next one.
 func (b *Bodies) Attach(w http.ResponseWriter, r *http.Request) *Body {
-	body := &Body{bodies: b, src: r.Body, control: http.NewResponseController(w)}
+	conn, _ := r.Context().Value(connKey{}).(*Conn)
+	body := &Body{bodies: b, src: r.Body, conn: conn, writer: w}
 	now := time.Now()
 	body.account = bodyAccount{owner: body, begun: now, progressed: now}
 	b.mu.Lock()
@@ -81,9 +86,14 @@
 	}
 	for _, victim := range victims {
 		// Its goroutine returns ErrShortage, and releases it.
-		victim.owner.control.SetReadDeadline(longAgo)
+		if conn := victim.owner.conn; conn != nil {
+			conn.endBody()
+		}
 	}
 	b.bodies.mu.Unlock()
+	if err != io.EOF && (err != nil || !ok) {
+		closeAfterAnswer(b.writer)
+	}
 	if !ok {
 		b.bodies.refused(bodyMemory)
 		return 0, ErrShortage
@@ -104,6 +114,30 @@
 	b.bodies.ledger.release(&b.account)
 }
 
+// LimitBody returns a reader of a request's body that fails with *http.MaxBytesError
+// beyond a number of bytes. The connection is then closed with the answer.
+func LimitBody(w http.ResponseWriter, r *http.Request, limit int64) io.Reader {
+	return http.MaxBytesReader(unwrap(w), r.Body, limit)
+}
+
+// closeAfterAnswer makes the server close the connection with the answer, and give the
+// caller time to read it before unread bytes of the body reset the connection. net/http
+// does both after a body that is longer than the limit of a MaxBytesReader, and only then.
+func closeAfterAnswer(w http.ResponseWriter) {
+	http.MaxBytesReader(unwrap(w), io.NopCloser(strings.NewReader("x")), 0).Read(make([]byte, 1))
+}
+
+// unwrap returns the server's own writer of an answer.
+func unwrap(w http.ResponseWriter) http.ResponseWriter {
+	for {
+		wrapper, ok := w.(interface{ Unwrap() http.ResponseWriter })
+		if !ok {
+			return w
+		}
+		w = wrapper.Unwrap()
+	}
+}
+
 // bodyAccount is what one body holds.
 type bodyAccount struct {
 	owner *Body // nil in tests
--- a/internal/transport/intake/conn.go
+++ b/internal/transport/intake/conn.go
@@ -191,6 +191,17 @@
 	return c.setDeadline(t)
 }
 
+// endBody ends the reads of a request's body. A request that is complete stays as it is:
+// net/http then reads ahead to learn of the caller's disconnection, and would take the
+// end of that read for one, in all later requests of the connection too.
+func (c *Conn) endBody() {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	if c.account.phase == body {
+		c.TCPConn.SetReadDeadline(longAgo)
+	}
+}
+
 // setState follows the requests of the connection.
 func (c *Conn) setState(state http.ConnState) {
 	l := c.listener
--- a/internal/transport/intake/intake.go
+++ b/internal/transport/intake/intake.go
@@ -110,7 +110,7 @@
 	// slow reader; 0 leaves the system's default, which is a few MB.
 	WriteBuffer int
 	Log         hclog.Logger
-	Scope        tally.Scope
+	Scope       tally.Scope
 }
 
 // Listener accepts connections within a budget. Use Listen.
