intake, gateway: a request without an answer ends its connection

A caller that sent a whole order, closed its side for writing and read on got "200 OK" without a body or a signature, for an order whose outcome nobody knew.

Cause: net/http answers "200 OK" for a handler that returns without having written anything, and the gateway returned so for each caller that it took for gone. In the middle of a stream the same return wrote the last chunk, and a part of the stream ended as a whole one.

Every server of the system is built by intake.Listener.NewServer. It now closes the connection of a request whose handler has written nothing, counts it (unanswered_requests), and logs it if the caller is still there. The gateway breaks off what it has begun for a caller that has left.

TestShutdown's handler relied on the empty 200 and now writes its status; what it checks is unchanged.

--- a/internal/coordination/gateway/call.go
+++ b/internal/coordination/gateway/call.go
@@ -92,7 +92,7 @@
 func (callerGone) isOutcome() {}
 
 // ServeHTTP serves one request. It panics with http.ErrAbortHandler if the answer
-// is incomplete.
+// is missing or incomplete.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{gateway: g, writer: w, request: r, arrived: time.Now()}
 	out := c.serve()
@@ -100,9 +100,10 @@
 		c.held.Release()
 	}
 	c.report(out)
-	if _, ok := out.(truncated); ok {
-		// Abort the connection, so that the caller sees that the answer is
-		// incomplete.
+	switch out.(type) {
+	case truncated, callerGone:
+		// Abort the connection, so that the caller sees that the answer is missing
+		// or incomplete. One that has closed its side for writing may still read.
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/transport/intake/conn_test.go
+++ b/internal/transport/intake/conn_test.go
@@ -273,6 +273,7 @@
 			close(begun)
 			<-end
 		}
+		w.WriteHeader(http.StatusOK)
 	})
 	idle := dial(t, l, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 	if diff := cmp.Diff(ok(1), statuses(idle, 1)); diff != "" {
--- a/internal/transport/intake/intake.go
+++ b/internal/transport/intake/intake.go
@@ -26,6 +26,9 @@
 [Bodies] bounds the bodies that handlers read, in the same way: the slowest one gives way.
 After a body that was not read to its end, the connection is closed with the answer.
 
+A server of [Listener.NewServer] never turns the return of a handler that has written
+nothing into a "200 OK": it closes the connection.
+
 # Use
 
 	socket, err := intake.Listen(address, intake.Config{Name: "callers", Budget: budget, ...})
@@ -121,17 +124,30 @@
 	// bodyTimeout is BodyTimeout but in tests.
 	bodyTimeout time.Duration
 
-	// mu guards ledger, the state of all connections, and logged.
-	mu     sync.Mutex
-	ledger *ledger
-	logged [reasonCount]logState
+	// mu guards ledger, the state of all connections, logged and unanswered.
+	mu         sync.Mutex
+	ledger     *ledger
+	logged     [reasonCount]logState
+	unanswered logState
 }
 
+// logState bounds the log lines about one condition.
 type logState struct {
 	last  time.Time
 	count int
 }
 
+// add counts an occurrence. If it is due to be logged, it returns the number since the
+// latest log line.
+func (s *logState) add(now time.Time) (count int, due bool) {
+	s.count++
+	count = s.count
+	if due = now.Sub(s.last) >= logInterval; due {
+		*s = logState{last: now}
+	}
+	return count, due
+}
+
 // Listen opens a listener at a TCP address.
 func Listen(address string, cfg Config) (*Listener, error) {
 	socket, err := net.Listen("tcp", address)
@@ -161,10 +177,11 @@
 	l.ledger.maxIdle = limits.IdleTimeout
 }
 
-// NewServer returns a server for the requests of l's connections. errorLog may be nil.
+// NewServer returns a server for the requests of l's connections. If the handler returns
+// without an answer, the connection is closed. errorLog may be nil.
 func (l *Listener) NewServer(handler http.Handler, errorLog *log.Logger) *http.Server {
 	return &http.Server{
-		Handler:           handler,
+		Handler:           l.answered(handler),
 		ErrorLog:          errorLog,
 		ReadHeaderTimeout: freshTimeout,
 		ReadTimeout:       l.bodyTimeout,
@@ -226,15 +243,8 @@
 // refused counts a refusal, and logs it unless its reason was logged lately.
 func (l *Listener) refused(r reason) {
 	l.cfg.Scope.Tagged(map[string]string{"listener": l.cfg.Name, "reason": r.String()}).Counter("intake_refusals").Inc(1)
-	now := time.Now()
 	l.mu.Lock()
-	s := &l.logged[r]
-	s.count++
-	count := s.count
-	due := now.Sub(s.last) >= logInterval
-	if due {
-		*s = logState{last: now}
-	}
+	count, due := l.logged[r].add(time.Now())
 	connections, held := l.ledger.connections, l.ledger.held
 	l.mu.Unlock()
 	if due {
