intake: a broken-off answer to HTTP/1.0 resets its connection

Found while looking for other ends of a call that look like a success. An answer of HTTP/1.0 without a length ends with its connection, so a handler that breaks off with http.ErrAbortHandler (a truncated long answer, a stream, a caller that has left) left a part that such a caller took for the whole.

The connection is now reset in that case.

--- a/internal/transport/intake/answer.go
+++ b/internal/transport/intake/answer.go
@@ -13,7 +13,14 @@
 func (l *Listener) answered(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		a := &answerWriter{ResponseWriter: w, ctx: r.Context()}
+		whole := false
+		defer func() {
+			if !whole && !r.ProtoAtLeast(1, 1) {
+				resetOnClose(r)
+			}
+		}()
 		next.ServeHTTP(a, r)
+		whole = true
 		if !a.begun {
 			l.logUnanswered(r)
 			panic(http.ErrAbortHandler)
@@ -21,6 +28,14 @@
 	})
 }
 
+// resetOnClose makes the close of a request's connection a reset. An answer of HTTP/1.0
+// without a length ends with its connection, so that a part of it would look whole.
+func resetOnClose(r *http.Request) {
+	if conn, ok := r.Context().Value(connKey{}).(*Conn); ok {
+		conn.SetLinger(0)
+	}
+}
+
 // logUnanswered counts a request that ends without an answer. If its caller is still
 // there, it logs that too, unless it has lately.
 func (l *Listener) logUnanswered(r *http.Request) {
--- a/internal/transport/intake/answer_test.go
+++ b/internal/transport/intake/answer_test.go
@@ -48,3 +48,44 @@
 		})
 	}
 }
+
+// TestBrokenOffForHTTP10 guards against a part of an answer that looks whole to a caller of
+// HTTP/1.0, for which an answer without a length ends with its connection.
+func TestBrokenOffForHTTP10(t *testing.T) {
+	tests := map[string]struct {
+		breaksOff bool
+		want      string // body, and BROKEN if the connection was reset
+	}{
+		"whole":      {false, "ab"},
+		"broken off": {true, "abBROKEN"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			sent := make(chan struct{})
+			l, _ := serveTest(t, ample, Limits{}, func(w http.ResponseWriter, _ *http.Request) {
+				io.WriteString(w, "ab")
+				http.NewResponseController(w).Flush()
+				<-sent // a reset may overtake what was sent before
+				if test.breaksOff {
+					panic(http.ErrAbortHandler)
+				}
+			})
+			r := bufio.NewReader(dial(t, l, "GET / HTTP/1.0\r\nHost: a\r\n\r\n"))
+			res, err := http.ReadResponse(r, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body := make([]byte, len("ab"))
+			io.ReadFull(res.Body, body)
+			close(sent)
+			rest, err := io.ReadAll(res.Body)
+			got := string(body) + string(rest)
+			if err != nil {
+				got += "BROKEN"
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
