intake: callers that have left do not hold their connections

The wait of half a second after a body that ended early is for callers that may still be sending. It also held connections whose caller had left in the middle of its body, and those that gave way to others, whose places are wanted. They are closed at once now, as before.

--- a/internal/transport/intake/bodies.go
+++ b/internal/transport/intake/bodies.go
@@ -50,9 +50,9 @@
 }
 
 // Attach replaces the body of a request by one whose bytes count. Its reads fail with
-// ErrShortage if there is no room for them. If it is not read to its end, the connection
-// is closed with the answer. A body gives way in the middle of a read only on connections
-// of NewServer's servers, otherwise at its next one.
+// ErrShortage if there is no room for them. After a read that fails, the connection is
+// closed with the answer. A body gives way in the middle of a read only on connections of
+// NewServer's servers, otherwise at its next one.
 func (b *Bodies) Attach(w http.ResponseWriter, r *http.Request) *Body {
 	conn, _ := r.Context().Value(connKey{}).(*Conn)
 	body := &Body{bodies: b, src: r.Body, conn: conn, writer: w}
@@ -91,7 +91,9 @@
 		}
 	}
 	b.bodies.mu.Unlock()
-	if err != io.EOF && (err != nil || !ok) {
+	if err != io.EOF && (!ok || errors.Is(err, os.ErrDeadlineExceeded)) {
+		// The caller may still be sending. After other errors it has left, or net/http
+		// closes the connection.
 		closeAfterAnswer(b.writer)
 	}
 	if !ok {
--- a/internal/transport/intake/ended_test.go
+++ b/internal/transport/intake/ended_test.go
@@ -109,6 +109,10 @@
 		read         func(w http.ResponseWriter, r *http.Request, body *Body)
 		// gives says that the body gives way to another one.
 		gives, wantClose bool
+		// send replaces the request with a length, after which leaves closes the
+		// caller's side.
+		send   string
+		leaves bool
 	}{
 		"memory, a part was sent": {length: limit, sent: limit / 2, bodyTimeout: testTimeout, read: readAll, gives: true, wantClose: true},
 		"time":                    {length: limit, sent: limit / 2, bodyTimeout: 100 * time.Millisecond, read: readAll, wantClose: true},
@@ -122,13 +126,22 @@
 			read: func(w http.ResponseWriter, r *http.Request, _ *Body) {
 				ReadAll(LimitBody(w, r, limit/2), r.ContentLength)
 			}},
-		"not read": {length: limit, sent: limit, bodyTimeout: testTimeout, read: func(http.ResponseWriter, *http.Request, *Body) {}},
+		"broken chunk":           {send: "POST /ended HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\nzz\r\n", bodyTimeout: testTimeout, read: readAll, wantClose: true},
+		"caller closes its side": {length: limit, sent: limit / 2, leaves: true, bodyTimeout: testTimeout, read: readAll, wantClose: true},
+		"not read":               {length: limit, sent: limit, bodyTimeout: testTimeout, read: func(http.ResponseWriter, *http.Request, *Body) {}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			e := newEndedTest(t, limit, test.bodyTimeout)
 			e.read = test.read
-			conn := dial(t, e.listener, request("/ended", test.length, test.sent))
+			send := test.send
+			if send == "" {
+				send = request("/ended", test.length, test.sent)
+			}
+			conn := dial(t, e.listener, send)
+			if test.leaves {
+				conn.(*net.TCPConn).CloseWrite()
+			}
 			if test.gives {
 				e.awaitHeld(t, limit/2)
 				if got := statuses(dial(t, e.listener, request("/next", limit*3/4, limit*3/4)), 1); len(got) != 1 || got[0] != http.StatusOK {
--- a/internal/transport/intake/intake.go
+++ b/internal/transport/intake/intake.go
@@ -24,7 +24,7 @@
 and logged at most once in ten seconds for each reason.
 
 [Bodies] bounds the bodies that handlers read, in the same way: the slowest one gives way.
-After a body that was not read to its end, the connection is closed with the answer.
+After a read of a body that fails, the connection is closed with the answer.
 
 A server of [Listener.NewServer] never turns the return of a handler that has written
 nothing into a "200 OK": it closes the connection.
