backend: TestWitness waits for its connection, not for 20 ms

The test gave the witness 20 ms to connect before the process ended; one that connects later meets the next process and has seen nothing of the first one. The test now waits until the witness has opened its connection and the process has accepted it; what each row demands is unchanged.

--- a/internal/protocol/backend/witness_test.go
+++ b/internal/protocol/backend/witness_test.go
@@ -18,6 +18,7 @@
 	t        *testing.T
 	listener net.Listener
 	serve    func(net.Conn)
+	accepted chan struct{} // closed with the first connection
 
 	mu    sync.Mutex
 	conns []net.Conn
@@ -28,16 +29,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &process{t: t, listener: l, serve: serve}
+	p := &process{t: t, listener: l, serve: serve, accepted: make(chan struct{})}
 	t.Cleanup(p.end)
 	go func() {
-		for {
+		for n := 0; ; n++ {
 			conn, err := l.Accept()
 			if err != nil {
 				return
 			}
 			p.mu.Lock()
-			p.conns = append(p.conns, conn)
+			if p.conns = append(p.conns, conn); n == 0 {
+				close(p.accepted)
+			}
 			p.mu.Unlock()
 			go serve(conn)
 		}
@@ -117,7 +120,8 @@
 			p := newProcess(t, "127.0.0.1:0", test.serve)
 			w := New(HeaderNames{Incarnation: "X-Incarnation", ExpectedIncarnation: "X-Expected"}, 0).Watch(context.Background(), p.listener.Addr().String())
 			defer w.Close()
-			time.Sleep(20 * time.Millisecond)
+			<-w.opened // one that opens later sees only what comes after
+			<-p.accepted
 			if test.during != nil {
 				test.during(p)
 			}
