--- a/internal/coordination/gateway/attributes_test.go
+++ b/internal/coordination/gateway/attributes_test.go
@@ -46,6 +46,13 @@
 	return found
 }
 
+// all returns all lines.
+func (b *logBuffer) all() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 func newLogBuffer() (*logBuffer, hclog.Logger) {
 	b := &logBuffer{}
 	return b, hclog.New(&hclog.LoggerOptions{Output: b, JSONFormat: true})
