gateway, registrar: two more tests that depended on the machine's speed

TestHalfCloseDuringUpload/idempotent was sent twice: under the race detector the upload of 8 MiB took longer than the 250 ms after which an attempt at a repeatable route is given up as silent, as in TestAnswerBeforeBody. Its routes get the same long targets; exactly one send is still demanded.

--- a/internal/coordination/gateway/early_test.go
+++ b/internal/coordination/gateway/early_test.go
@@ -96,7 +96,7 @@
 			s := newLoggingGateway(t, log, server(), server())
 			s.allowBodies(2 * longBody)
 			s.setTimeouts(timeout)
-			s.setTargetLatencies(timeout) // no attempt is given up as silent
+			s.setTargets(timeout) // no attempt is given up as silent
 			begin := time.Now()
 			status, body, _ := s.send(t, "POST", test.path, strings.Repeat("b", test.size))
 			if status == 502 {
@@ -115,14 +115,14 @@
 	}
 }
 
-// setTargetLatencies sets the target latency of all routes, from which follows after what
-// time without an answer an attempt is given up as silent.
-func (s *testGateway) setTargetLatencies(latency time.Duration) {
+// setTargets sets the target latency and the target gap of all routes, from which follows
+// after what time without data an attempt is given up as silent.
+func (s *testGateway) setTargets(target time.Duration) {
 	v := *s.gateway.view
 	c := v.Index.Catalog
 	c.Routes = slices.Clone(c.Routes)
 	for i := range c.Routes {
-		c.Routes[i].TargetLatency = latency
+		c.Routes[i].TargetLatency, c.Routes[i].TargetGap = target, target
 	}
 	v.Index = catalog.NewIndex(c)
 	s.gateway.Update(&v)
--- a/internal/coordination/gateway/reset_test.go
+++ b/internal/coordination/gateway/reset_test.go
@@ -140,6 +140,8 @@
 			}
 			s := newTestGateway(t, server(), server())
 			s.allowBodies(2 * longBody)
+			s.setTimeouts(20 * time.Second)
+			s.setTargets(20 * time.Second) // no attempt is given up as silent
 			status, body, _ := s.send(t, "POST", test.path, strings.Repeat("b", longBody))
 			if diff := cmp.Diff([]any{200, test.body, int32(1)}, []any{status, body, sends.Load()}); diff != "" {
 				t.Error(diff)
--- a/internal/coordination/registrar/disk_test.go
+++ b/internal/coordination/registrar/disk_test.go
@@ -135,13 +135,16 @@
 	return g
 }
 
+// catalogTextBytes is the size of a catalog.
+const catalogTextBytes = 300 << 10
+
 // catalogText returns the catalog of a version. A few of them fill a segment of the log,
 // and a few more make a snapshot due.
 func catalogText(version uint64) string {
 	// Text that cannot be compressed well.
 	var b bytes.Buffer
 	state := version*0x9e3779b97f4a7c15 + 1
-	for b.Len() < 300<<10 {
+	for b.Len() < catalogTextBytes {
 		state ^= state << 13
 		state ^= state >> 7
 		state ^= state << 17
@@ -160,21 +163,31 @@
 	return err
 }
 
+// maxChangesWhileFull bounds the changes until an operation of a full disk fails. A
+// snapshot is due after half of them, whatever time the machine takes for them.
+const maxChangesWhileFull = 2 * snapshotBytes / catalogTextBytes
+
 // fill makes a disk full for some time, and until one of its operations has failed. It
 // sends catalogs through all registrars meanwhile.
 func (g *diskGroup) fill(disk *limitedDisk, fails operation, d time.Duration) {
 	g.t.Helper()
 	disk.set(true, fails)
 	defer disk.set(false, fails)
-	begun := time.Now()
+	begun, first := time.Now(), g.acknowledged
+	progressed := begun
 	for time.Since(begun) < d || !disk.failed() {
-		if time.Since(begun) > eventuallyTimeout {
-			g.t.Fatal("no operation of a full disk has failed")
+		if changes := g.acknowledged - first; changes > maxChangesWhileFull && !disk.failed() {
+			g.t.Fatalf("no operation of a full disk has failed in %d changes and %v", changes, time.Since(begun))
+		}
+		if time.Since(progressed) > eventuallyTimeout {
+			g.t.Fatalf("no change was acknowledged for %v while a disk was full", eventuallyTimeout)
 		}
 		for _, address := range g.seeds {
 			if g.send(g.nodes[address]) != nil {
 				time.Sleep(20 * time.Millisecond)
+				continue
 			}
+			progressed = time.Now()
 		}
 	}
 }
